--- /dev/null
+++ b/cmd/bilberryvane/main.go
@@ -0,0 +1,4 @@
+// Command bilberryvane is the operator's tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/bilberryvaned/main.go
@@ -0,0 +1,4 @@
+// Command bilberryvaned is the node: one process per backend server host.
+package main
+
+func main() {}
