Add membership as a deterministic state machine

Nodes must learn of each other, of failures and of leaving hosts without a second coordination service and without a write per heartbeat.

Ruled out: one flat SWIM group over all zones (its state and join traffic grow with all nodes, and a zone that is cut off would declare all others dead); heartbeats to the table service (its write rate).

Package member follows SWIM within one zone: probes, indirect probes, suspicion with refutation by revision, piggybacked and pushed statements. Other zones are known by a summary per service, exchanged by three bridge nodes per zone. Rumours of any topic travel the same way. Digests of 96 buckets are compared at a slow rate, which heals partitions. trial/gossip runs groups over a fake network with a fake clock.

Broken variants seen to fail TestAgreementAfterFaults: no refutation, no comparison with members held dead, incarnations not compared, bridges named by other zones not greeted. The test found a fault on the way: an isolated node compared only with seeds, so that healed partitions of a zone stayed open; it compares with members held dead now.

--- /dev/null
+++ b/member/compare.go
@@ -0,0 +1,284 @@
+package member
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Bounds of a comparison of two nodes.
+const (
+	// listingLimit is how many hashes one Listing holds.
+	listingLimit = 64
+	// listingsPerDigest is how many buckets one Digest may have listed.
+	listingsPerDigest = 2
+	// spreadLimit is up to how many found differences are passed on; more than
+	// that means a node that joins or a healed partition, where every node
+	// compares by itself.
+	spreadLimit = 16
+	// distantEvery is after how many comparisons within the zone, at the least,
+	// one goes to a distant address, so that a healed partition is found.
+	distantEvery = 2
+	// distantPerPeriod is about how many comparisons of all members together go
+	// to distant addresses in one period, so that these are not overrun.
+	distantPerPeriod = 8
+	// loneDigests is how many digests a node that holds nobody present sends.
+	loneDigests = 8
+)
+
+// sync starts the comparisons that are due: with a member of the own zone, and,
+// by bridges and by nodes that know nobody, with other zones.
+func (g *Group) sync(now time.Time) {
+	if !g.joined && now.Sub(g.started) >= g.settings.JoinTime && len(g.roster.order) == 0 {
+		g.joined = true
+	}
+	if now.Before(g.timers.sync) {
+		return
+	}
+	period := g.settings.SyncPeriod
+	if !g.joined {
+		period = g.settings.CatchUpPeriod
+	}
+	g.timers.sync = now.Add(period/2 + g.jitter(period))
+	distant := g.distant()
+	if len(g.roster.order) == 0 {
+		for _, address := range distant[:min(len(distant), loneDigests)] {
+			g.sendDigest(address)
+		}
+		return
+	}
+	if g.joined && len(distant) > 0 && g.random.Intn(max(distantEvery, len(g.roster.order)/distantPerPeriod)) == 0 {
+		g.sendDigest(distant[g.random.Intn(len(distant))])
+		return
+	}
+	g.sendDigest(g.roster.sample(1, g.random, "")[0].member.Address)
+}
+
+// distant returns the addresses that a healed partition may be found by: those of
+// members held dead and of bridges that others name, and, if there are none, the
+// seeds. A node that holds nobody present uses all of them.
+func (g *Group) distant() []string {
+	addresses := slices.Clone(g.peers)
+	for _, rec := range g.roster.tombstones {
+		if rec.member.Status == Dead {
+			addresses = append(addresses, rec.member.Address)
+		}
+	}
+	if len(addresses) == 0 || len(g.roster.order) == 0 {
+		addresses = append(addresses, g.seeds...)
+	}
+	g.random.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	return addresses
+}
+
+// sendDigest sends the digest of all that this node holds.
+func (g *Group) sendDigest(address string) {
+	m := g.message(Digest)
+	m.MemberDigest = slices.Clone(g.roster.digest[:])
+	m.RumourDigest = slices.Clone(g.rumours.digest[:])
+	g.send(address, m)
+}
+
+// onDigest answers with the hashes of some buckets that differ.
+func (g *Group) onDigest(m Message) {
+	if len(m.MemberDigest) != memberBuckets || len(m.RumourDigest) != rumourBuckets {
+		return
+	}
+	var differing []Range
+	if m.Zone == g.zone {
+		for i, hash := range m.MemberDigest {
+			if hash != g.roster.digest[i] {
+				differing = append(differing, Range{Bucket: uint8(i)})
+			}
+		}
+	}
+	members := len(differing)
+	for i, hash := range m.RumourDigest {
+		if hash != g.rumours.digest[i] {
+			differing = append(differing, Range{Rumours: true, Bucket: uint8(i)})
+		}
+	}
+	if len(differing) == 0 {
+		answer := g.message(Listing)
+		answer.Rumours = g.bridgesOf(m.Zone)
+		g.send(m.From.Address, answer)
+		return
+	}
+	if members >= listingsPerDigest {
+		differing = differing[:members]
+	}
+	for range min(listingsPerDigest, len(differing)) {
+		i := g.random.Intn(len(differing))
+		answer := g.message(Listing)
+		answer.Range = g.listing(differing[i])
+		answer.Rumours = g.bridgesOf(m.Zone)
+		g.send(m.From.Address, answer)
+		differing = slices.Delete(differing, i, i+1)
+	}
+}
+
+// bridgesOf returns the rumour of the bridges of another zone, which leads a node
+// of that zone to its members.
+func (g *Group) bridgesOf(zone string) []Rumour {
+	rec, ok := g.rumours.records[rumourID{topic: topicBridges, key: zone}]
+	if !ok || zone == g.zone {
+		return nil
+	}
+	return []Rumour{rec.rumour}
+}
+
+// listing fills in the hashes of a bucket; of a large bucket a random part.
+func (g *Group) listing(r Range) *Range {
+	hashes := g.bucketHashes(r)
+	r.High = math.MaxUint64
+	if len(hashes) > listingLimit {
+		start := g.random.Intn(len(hashes) - listingLimit + 1)
+		if start > 0 {
+			r.Low = hashes[start]
+		}
+		if start+listingLimit < len(hashes) {
+			r.High = hashes[start+listingLimit-1]
+		}
+		hashes = hashes[start : start+listingLimit]
+	}
+	r.Hashes = hashes
+	return &r
+}
+
+// bucketHashes returns the hashes of a bucket in their order.
+func (g *Group) bucketHashes(r Range) []uint64 {
+	var hashes []uint64
+	if r.Rumours {
+		for _, rec := range g.rumours.bucketRecords(int(r.Bucket) % rumourBuckets) {
+			hashes = append(hashes, rec.hash)
+		}
+		return hashes
+	}
+	for _, rec := range g.roster.bucketRecords(int(r.Bucket) % memberBuckets) {
+		hashes = append(hashes, rec.hash)
+	}
+	return hashes
+}
+
+// onListing sends what the other lacks, asks for what this node lacks, and sets
+// the time of the next comparison by how much that was.
+func (g *Group) onListing(m Message, now time.Time) {
+	if m.Range == nil {
+		g.caughtUp(m.Zone)
+		return
+	}
+	if !m.Range.Rumours && m.Zone != g.zone {
+		return
+	}
+	theirs := slices.Clone(m.Range.Hashes)
+	slices.Sort(theirs)
+	ours := g.bucketHashes(*m.Range)
+	missing := subtract(theirs, ours)
+	surplus := slices.DeleteFunc(subtract(ours, theirs), func(hash uint64) bool {
+		return hash < m.Range.Low || hash > m.Range.High
+	})
+	g.sendHashes(m.From.Address, *m.Range, surplus, now)
+	if len(missing) > 0 {
+		want := g.message(Want)
+		want.Range = &Range{Rumours: m.Range.Rumours, Bucket: m.Range.Bucket, Hashes: missing}
+		g.send(m.From.Address, want)
+	}
+	if len(missing)+len(surplus) >= spreadLimit {
+		g.timers.sync = earlier(g.timers.sync, now.Add(g.settings.CatchUpPeriod))
+		return
+	}
+	g.caughtUp(m.Zone)
+}
+
+// caughtUp notes that a member of the own zone holds nearly the same.
+func (g *Group) caughtUp(zone string) {
+	if zone == g.zone {
+		g.joined = true
+	}
+}
+
+// onWant sends the entries that the other asked for.
+func (g *Group) onWant(m Message, now time.Time) {
+	if m.Range == nil || (!m.Range.Rumours && m.Zone != g.zone) {
+		return
+	}
+	hashes := slices.Clone(m.Range.Hashes)
+	slices.Sort(hashes)
+	g.sendHashes(m.From.Address, *m.Range, hashes, now)
+}
+
+// sendHashes sends the entries of a bucket with the given sorted hashes.
+func (g *Group) sendHashes(address string, r Range, hashes []uint64, now time.Time) {
+	if len(hashes) == 0 {
+		return
+	}
+	var members []Member
+	var rumours []Rumour
+	if r.Rumours {
+		for _, rec := range g.rumours.bucketRecords(int(r.Bucket) % rumourBuckets) {
+			if contains(hashes, rec.hash) {
+				rumours = append(rumours, rec.at(now))
+			}
+		}
+	} else {
+		for _, rec := range g.roster.bucketRecords(int(r.Bucket) % memberBuckets) {
+			if contains(hashes, rec.hash) {
+				members = append(members, rec.member)
+			}
+		}
+	}
+	g.sendEntries(address, members, rumours)
+}
+
+// sendEntries sends entries in as many messages as they need.
+func (g *Group) sendEntries(address string, members []Member, rumours []Rumour) {
+	spread := len(members)+len(rumours) < spreadLimit
+	for len(members)+len(rumours) > 0 {
+		m := g.message(Entries)
+		m.Spread = spread
+		room := g.settings.MessageLimit - m.size()
+		for len(members) > 0 && members[0].size() <= room {
+			m.Members = append(m.Members, members[0])
+			room -= members[0].size()
+			members = members[1:]
+		}
+		for len(members) == 0 && len(rumours) > 0 && rumours[0].size() <= room {
+			m.Rumours = append(m.Rumours, rumours[0])
+			room -= rumours[0].size()
+			rumours = rumours[1:]
+		}
+		if len(m.Members)+len(m.Rumours) == 0 {
+			return
+		}
+		g.send(address, m)
+	}
+}
+
+// contains reports whether the sorted hashes hold one.
+func contains(hashes []uint64, hash uint64) bool {
+	_, found := slices.BinarySearch(hashes, hash)
+	return found
+}
+
+// subtract returns the hashes of a, sorted, that the sorted b does not hold.
+func subtract(a, b []uint64) []uint64 {
+	var rest []uint64
+	for _, hash := range a {
+		at := sort.Search(len(b), func(i int) bool { return b[i] >= hash })
+		if at == len(b) || b[at] != hash {
+			rest = append(rest, hash)
+		}
+	}
+	return rest
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/member/queue.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"math"
+	"sort"
+)
+
+// queued is an entry that this node still passes on. The value itself is looked
+// up when it is sent, so that the newest one travels.
+type queued struct {
+	host     string
+	rumour   rumourID
+	sends    int
+	sequence int
+}
+
+// queue holds the entries to pass on, the least often sent first.
+type queue struct {
+	entries  []queued
+	sequence int
+}
+
+// add puts an entry in the queue as never sent.
+func (q *queue) add(entry queued) {
+	q.sequence++
+	entry.sequence = q.sequence
+	for i, e := range q.entries {
+		if e.host == entry.host && e.rumour == entry.rumour {
+			q.entries[i] = entry
+			return
+		}
+	}
+	q.entries = append(q.entries, entry)
+}
+
+// sort orders the entries by sends, then by age.
+func (q *queue) sort() {
+	sort.Slice(q.entries, func(i, j int) bool {
+		a, b := q.entries[i], q.entries[j]
+		if a.sends != b.sends {
+			return a.sends < b.sends
+		}
+		return a.sequence < b.sequence
+	})
+}
+
+// prune removes the entries that were sent often enough.
+func (q *queue) prune(limit int) {
+	kept := q.entries[:0]
+	for _, e := range q.entries {
+		if e.sends < limit {
+			kept = append(kept, e)
+		}
+	}
+	q.entries = kept
+}
+
+// retransmits returns how often a node passes an entry on in a zone of the given
+// size: the logarithm makes it likely that each member hears of it.
+func retransmits(factor, members int) int {
+	return factor * int(math.Ceil(math.Log10(float64(members+2))))
+}
--- /dev/null
+++ b/member/rumour.go
@@ -0,0 +1,87 @@
+package member
+
+import (
+	"bytes"
+	"time"
+)
+
+// Topics that the group uses itself. Publish refuses them.
+const (
+	topicSummary   = "service-summary"
+	topicBridges   = "zone-bridges"
+	topicHeartbeat = "zone-heartbeat"
+)
+
+// A Rumour is a small value that every node of every zone learns. Of two rumours
+// with the same topic and key the one with the greater version is kept, so that
+// nodes agree in whatever sequence they hear them.
+type Rumour struct {
+	_ struct{} `cbor:",toarray"`
+	// Topic names the use of the rumour.
+	Topic string
+	// Key names the value within the topic.
+	Key string
+	// Version orders the values of one key.
+	Version uint64
+	// Payload is the value; at most Settings.PayloadLimit bytes.
+	Payload []byte
+	// Remaining is the time in seconds until the rumour is forgotten, counted
+	// anew by each node that hears it; zero is never.
+	Remaining uint32
+}
+
+// Supersedes reports whether r replaces other. Equal versions are ordered by
+// payload, so that concurrent writers end with one value.
+func (r Rumour) Supersedes(other Rumour) bool {
+	if r.Version != other.Version {
+		return r.Version > other.Version
+	}
+	return bytes.Compare(r.Payload, other.Payload) > 0
+}
+
+// WithRemaining returns a copy that is forgotten after the given seconds.
+func (r Rumour) WithRemaining(seconds uint32) Rumour {
+	r.Remaining = seconds
+	return r
+}
+
+// id returns the identity of the rumour.
+func (r Rumour) id() rumourID { return rumourID{topic: r.Topic, key: r.Key} }
+
+// internal reports whether the topic belongs to the group.
+func (r Rumour) internal() bool {
+	return r.Topic == topicSummary || r.Topic == topicBridges || r.Topic == topicHeartbeat
+}
+
+// background reports whether the rumour only rides on other messages.
+func (r Rumour) background() bool { return r.Topic == topicHeartbeat }
+
+// rumourID identifies a rumour.
+type rumourID struct {
+	topic string
+	key   string
+}
+
+// rumourRecord is a rumour as this node holds it.
+type rumourRecord struct {
+	rumour  Rumour
+	expires time.Time
+	hash    uint64
+}
+
+// at returns the rumour with the time that remains at now.
+func (r *rumourRecord) at(now time.Time) Rumour {
+	if r.expires.IsZero() {
+		return r.rumour
+	}
+	remaining := max(r.expires.Sub(now)/time.Second, 1)
+	return r.rumour.WithRemaining(uint32(remaining))
+}
+
+// summary is the payload of the topic service-summary: what a zone offers of one
+// service, with a bounded subset of the nodes.
+type summary struct {
+	_     struct{} `cbor:",toarray"`
+	Count uint32
+	Nodes []Contact
+}
