--- a/member/compare.go
+++ b/member/compare.go
@@ -9,9 +9,7 @@
 
 // Bounds of a comparison of two nodes.
 const (
-	// listingLimit is how many hashes one Listing holds.
-	listingLimit = 64
-	// listingsPerDigest is how many buckets one Digest may have listed.
+	// listingsPerDigest is how many messages answer one Digest.
 	listingsPerDigest = 2
 	// spreadLimit is up to how many found differences are passed on; more than
 	// that means a node that joins or a healed partition, where every node
@@ -82,42 +80,84 @@
 	g.send(address, m)
 }
 
-// onDigest answers with the hashes of some buckets that differ.
+// onDigest answers with the hashes of the buckets that differ, as far as they have
+// room in a few messages. Members of the own zone go first.
 func (g *Group) onDigest(m Message) {
 	if len(m.MemberDigest) != memberBuckets || len(m.RumourDigest) != rumourBuckets {
 		return
 	}
-	var differing []Range
+	differing := g.differing(m)
+	for i := range listingsPerDigest {
+		answer := g.message(Listing)
+		answer.Rumours = g.bridgesOf(m.Zone)
+		differing = g.fillListing(&answer, differing)
+		answer.More = len(differing) > 0
+		g.send(m.From.Address, answer)
+		if i+1 == listingsPerDigest || !answer.More {
+			return
+		}
+	}
+}
+
+// differing returns the buckets in which the sender of a digest holds something
+// else, those of members before those of rumours, each kind in random sequence.
+func (g *Group) differing(m Message) []Range {
+	var found []Range
 	if m.Zone == g.zone {
 		for i, hash := range m.MemberDigest {
 			if hash != g.roster.digest[i] {
-				differing = append(differing, Range{Bucket: uint8(i)})
+				found = append(found, Range{Bucket: uint8(i)})
 			}
 		}
 	}
-	members := len(differing)
+	members := len(found)
 	for i, hash := range m.RumourDigest {
 		if hash != g.rumours.digest[i] {
-			differing = append(differing, Range{Rumours: true, Bucket: uint8(i)})
+			found = append(found, Range{Rumours: true, Bucket: uint8(i)})
 		}
 	}
-	if len(differing) == 0 {
-		answer := g.message(Listing)
-		answer.Rumours = g.bridgesOf(m.Zone)
-		g.send(m.From.Address, answer)
-		return
+	for _, part := range [][]Range{found[:members], found[members:]} {
+		g.random.Shuffle(len(part), func(i, j int) { part[i], part[j] = part[j], part[i] })
 	}
-	if members >= listingsPerDigest {
-		differing = differing[:members]
+	return found
+}
+
+// fillListing adds buckets while they have room, and a part of the first one if it
+// has none, and returns the rest.
+func (g *Group) fillListing(m *Message, differing []Range) []Range {
+	room := g.settings.MessageLimit - m.size()
+	for _, r := range m.Rumours {
+		room -= r.size()
 	}
-	for range min(listingsPerDigest, len(differing)) {
-		i := g.random.Intn(len(differing))
-		answer := g.message(Listing)
-		answer.Range = g.listing(differing[i])
-		answer.Rumours = g.bridgesOf(m.Zone)
-		g.send(m.From.Address, answer)
-		differing = slices.Delete(differing, i, i+1)
+	for len(differing) > 0 {
+		r := differing[0]
+		limit := (room - rangeSize) / hashSize
+		r.Hashes = g.bucketHashes(r)
+		r.High = math.MaxUint64
+		if len(r.Hashes) > limit && len(m.Ranges) > 0 {
+			break
+		}
+		if len(r.Hashes) > limit {
+			r = g.part(r, limit)
+		}
+		m.Ranges = append(m.Ranges, r)
+		room -= rangeSize + hashSize*len(r.Hashes)
+		differing = differing[1:]
+	}
+	return differing
+}
+
+// part returns a random part of a large bucket.
+func (g *Group) part(r Range, limit int) Range {
+	start := g.random.Intn(len(r.Hashes) - limit + 1)
+	if start > 0 {
+		r.Low = r.Hashes[start]
+	}
+	if start+limit < len(r.Hashes) {
+		r.High = r.Hashes[start+limit-1]
 	}
+	r.Hashes = r.Hashes[start : start+limit]
+	return r
 }
 
 // bridgesOf returns the rumour of the bridges of another zone, which leads a node
@@ -130,24 +170,6 @@
 	return []Rumour{rec.rumour}
 }
 
-// listing fills in the hashes of a bucket; of a large bucket a random part.
-func (g *Group) listing(r Range) *Range {
-	hashes := g.bucketHashes(r)
-	r.High = math.MaxUint64
-	if len(hashes) > listingLimit {
-		start := g.random.Intn(len(hashes) - listingLimit + 1)
-		if start > 0 {
-			r.Low = hashes[start]
-		}
-		if start+listingLimit < len(hashes) {
-			r.High = hashes[start+listingLimit-1]
-		}
-		hashes = hashes[start : start+listingLimit]
-	}
-	r.Hashes = hashes
-	return &r
-}
-
 // bucketHashes returns the hashes of a bucket in their order.
 func (g *Group) bucketHashes(r Range) []uint64 {
 	var hashes []uint64
@@ -166,48 +188,61 @@
 // onListing sends what the other lacks, asks for what this node lacks, and sets
 // the time of the next comparison by how much that was.
 func (g *Group) onListing(m Message, now time.Time) {
-	if m.Range == nil {
-		g.caughtUp(m.Zone)
-		return
-	}
-	if !m.Range.Rumours && m.Zone != g.zone {
-		return
+	want := g.message(Want)
+	differences, members := 0, 0
+	for _, r := range m.Ranges {
+		if !r.Rumours && m.Zone != g.zone {
+			continue
+		}
+		theirs := slices.Clone(r.Hashes)
+		slices.Sort(theirs)
+		ours := g.bucketHashes(r)
+		missing := subtract(theirs, ours)
+		surplus := slices.DeleteFunc(subtract(ours, theirs), func(hash uint64) bool {
+			return hash < r.Low || hash > r.High
+		})
+		differences += len(missing) + len(surplus)
+		if !r.Rumours {
+			members += len(missing) + len(surplus)
+		}
+		g.sendHashes(m.From.Address, r, surplus, now)
+		if len(missing) > 0 {
+			want.Ranges = append(want.Ranges, Range{Rumours: r.Rumours, Bucket: r.Bucket, Hashes: missing})
+		}
 	}
-	theirs := slices.Clone(m.Range.Hashes)
-	slices.Sort(theirs)
-	ours := g.bucketHashes(*m.Range)
-	missing := subtract(theirs, ours)
-	surplus := slices.DeleteFunc(subtract(ours, theirs), func(hash uint64) bool {
-		return hash < m.Range.Low || hash > m.Range.High
-	})
-	g.sendHashes(m.From.Address, *m.Range, surplus, now)
-	if len(missing) > 0 {
-		want := g.message(Want)
-		want.Range = &Range{Rumours: m.Range.Rumours, Bucket: m.Range.Bucket, Hashes: missing}
+	if len(want.Ranges) > 0 {
 		g.send(m.From.Address, want)
 	}
-	if len(missing)+len(surplus) >= spreadLimit {
-		g.timers.sync = earlier(g.timers.sync, now.Add(g.settings.CatchUpPeriod))
-		return
+	if m.More || differences >= spreadLimit {
+		g.timers.sync = earlier(g.timers.sync, now.Add(g.catchUpPeriod()))
+	}
+	partial := m.More && len(m.Ranges) > 0 && !m.Ranges[len(m.Ranges)-1].Rumours
+	if m.Zone == g.zone && !partial && members < spreadLimit {
+		g.joined = true
 	}
-	g.caughtUp(m.Zone)
 }
 
-// caughtUp notes that a member of the own zone holds nearly the same.
-func (g *Group) caughtUp(zone string) {
-	if zone == g.zone {
-		g.joined = true
+// catchUpPeriod returns the time between two comparisons of a node that lacks
+// much. Once it knows its zone it takes longer, to stay within its share of the
+// network.
+func (g *Group) catchUpPeriod() time.Duration {
+	const joinedFactor = 6
+	if g.joined {
+		return joinedFactor * g.settings.CatchUpPeriod
 	}
+	return g.settings.CatchUpPeriod
 }
 
 // onWant sends the entries that the other asked for.
 func (g *Group) onWant(m Message, now time.Time) {
-	if m.Range == nil || (!m.Range.Rumours && m.Zone != g.zone) {
-		return
+	for _, r := range m.Ranges {
+		if !r.Rumours && m.Zone != g.zone {
+			continue
+		}
+		hashes := slices.Clone(r.Hashes)
+		slices.Sort(hashes)
+		g.sendHashes(m.From.Address, r, hashes, now)
 	}
-	hashes := slices.Clone(m.Range.Hashes)
-	slices.Sort(hashes)
-	g.sendHashes(m.From.Address, *m.Range, hashes, now)
 }
 
 // sendHashes sends the entries of a bucket with the given sorted hashes.
--- a/member/group.go
+++ b/member/group.go
@@ -64,7 +64,11 @@
 	joined     bool
 	started    time.Time
 	generation uint64
-	out        Output
+	// budget is how many bytes of entries may be passed on now; refilled is when
+	// it was raised.
+	budget   int
+	refilled time.Time
+	out      Output
 }
 
 // timers are the times of the next periodic steps.
@@ -94,6 +98,8 @@
 	g.AddSeeds(seeds...)
 	g.roster.put(self, true, random)
 	g.timers.last = now
+	g.refilled = now
+	g.budget = settings.SpreadBurst
 	g.timers.probe = now.Add(g.jitter(settings.ProbePeriod))
 	g.timers.abroad = now.Add(g.jitter(settings.CatchUpPeriod))
 	return g
@@ -214,9 +220,10 @@
 	var newer []Member
 	if m.Zone == g.zone {
 		for _, s := range m.Members {
-			if !g.apply(s, now, spread) && m.Kind == Entries {
-				newer = g.collectNewer(newer, s)
+			if g.apply(s, now, spread) {
+				continue
 			}
+			newer = g.compareHeld(newer, s, m.Kind)
 		}
 	}
 	for _, r := range m.Rumours {
@@ -227,10 +234,18 @@
 	}
 }
 
-// collectNewer adds the held statement if it supersedes the one received.
-func (g *Group) collectNewer(newer []Member, received Member) []Member {
+// compareHeld handles a statement that is not new: an equal one counts as passed
+// on, and in a comparison an older one is answered with the one held.
+func (g *Group) compareHeld(newer []Member, received Member, kind Kind) []Member {
 	rec, ok := g.roster.records[received.Host]
-	if ok && rec.member.Supersedes(received) {
+	if !ok {
+		return newer
+	}
+	if !rec.member.Supersedes(received) {
+		g.queue.heard(queued{host: received.Host})
+		return newer
+	}
+	if kind == Entries {
 		return append(newer, rec.member)
 	}
 	return newer
--- a/member/message.go
+++ b/member/message.go
@@ -29,8 +29,8 @@
 	Gossip
 	// Digest carries the hashes of all that the sender holds, by bucket.
 	Digest
-	// Listing answers a Digest with the hashes of the entries of one differing
-	// bucket; one without hashes and bucket says that nothing differs.
+	// Listing answers a Digest with the hashes of the entries of differing buckets;
+	// one without ranges says that nothing differs.
 	Listing
 	// Want asks for the entries with the given hashes.
 	Want
@@ -63,10 +63,12 @@
 	MemberDigest []uint64 `cbor:"10,keyasint,omitempty"`
 	// RumourDigest is one hash for each bucket of rumours.
 	RumourDigest []uint64 `cbor:"11,keyasint,omitempty"`
-	// Range is the part of a bucket that a Listing or Want speaks of.
-	Range *Range `cbor:"12,keyasint,omitempty"`
+	// Ranges are the parts of buckets that a Listing or Want speaks of.
+	Ranges []Range `cbor:"12,keyasint,omitempty"`
 	// Spread asks the receiver to pass new entries on.
 	Spread bool `cbor:"13,keyasint,omitempty"`
+	// More says that further buckets differ than a Listing has room for.
+	More bool `cbor:"14,keyasint,omitempty"`
 }
 
 // A Range names entries of one bucket by their hashes.
@@ -123,6 +125,8 @@
 	memberSize  = 36
 	rumourSize  = 28
 	serviceSize = 3
+	rangeSize   = 28
+	hashSize    = 9
 )
 
 // size returns a bound of the encoded size of the member.
--- a/member/queue.go
+++ b/member/queue.go
@@ -14,6 +14,11 @@
 	sequence int
 }
 
+// others reports whether the entry is a rumour of a topic that is not the group's.
+func (e queued) others() bool {
+	return e.host == "" && !Rumour{Topic: e.rumour.topic}.internal()
+}
+
 // queue holds the entries to pass on, the least often sent first.
 type queue struct {
 	entries  []queued
@@ -33,6 +38,27 @@
 	q.entries = append(q.entries, entry)
 }
 
+// heard counts an entry that another node sent as if this node had: what many
+// pass on already needs less of it.
+func (q *queue) heard(entry queued) {
+	for i, e := range q.entries {
+		if e.host == entry.host && e.rumour == entry.rumour {
+			q.entries[i].sends++
+			return
+		}
+	}
+}
+
+// size returns the size of all entries.
+func (q *queue) size(g *Group) int {
+	total := 0
+	for _, e := range q.entries {
+		size, _ := g.sizeOf(e)
+		total += size
+	}
+	return total
+}
+
 // sort orders the entries by sends, then by age.
 func (q *queue) sort() {
 	sort.Slice(q.entries, func(i, j int) bool {
--- a/member/rumour.go
+++ b/member/rumour.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"time"
 )
 
@@ -25,8 +26,8 @@
 	Version uint64
 	// Payload is the value; at most Settings.PayloadLimit bytes.
 	Payload []byte
-	// Remaining is the time in seconds until the rumour is forgotten, counted
-	// anew by each node that hears it; zero is never.
+	// Remaining is the time in milliseconds until the rumour ends, counted anew
+	// by each node that hears it; zero is never.
 	Remaining uint32
 }
 
@@ -39,9 +40,9 @@
 	return bytes.Compare(r.Payload, other.Payload) > 0
 }
 
-// WithRemaining returns a copy that is forgotten after the given seconds.
-func (r Rumour) WithRemaining(seconds uint32) Rumour {
-	r.Remaining = seconds
+// WithLifetime returns a copy that ends after the given time; zero is never.
+func (r Rumour) WithLifetime(lifetime time.Duration) Rumour {
+	r.Remaining = uint32(min(lifetime.Milliseconds(), math.MaxUint32))
 	return r
 }
 
@@ -67,6 +68,9 @@
 	rumour  Rumour
 	expires time.Time
 	hash    uint64
+	// ended says that the rumour's time is over. The record stays for a while so
+	// that another node's late copy is not taken for a new rumour.
+	ended bool
 }
 
 // at returns the rumour with the time that remains at now.
@@ -74,8 +78,7 @@
 	if r.expires.IsZero() {
 		return r.rumour
 	}
-	remaining := max(r.expires.Sub(now)/time.Second, 1)
-	return r.rumour.WithRemaining(uint32(remaining))
+	return r.rumour.WithLifetime(max(r.expires.Sub(now), time.Millisecond))
 }
 
 // summary is the payload of the topic service-summary: what a zone offers of one
--- a/member/rumours.go
+++ b/member/rumours.go
@@ -7,6 +7,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Times of rumours that end.
+const (
+	// endedLifetime is how long a rumour that ended is remembered; no copy of it
+	// is on its way for longer.
+	endedLifetime = time.Minute
+	// expiryPeriod is the time between two passes over the rumours that end.
+	expiryPeriod = time.Second
+)
+
 // rumourStore holds the rumours and their digests.
 type rumourStore struct {
 	records map[rumourID]*rumourRecord
@@ -14,6 +23,8 @@
 	digest  [rumourBuckets]uint64
 	// expiring are the records that are forgotten at some time.
 	expiring []*rumourRecord
+	// next is the time of the next pass over expiring.
+	next time.Time
 }
 
 // newRumourStore returns an empty store.
@@ -55,33 +66,54 @@
 	}
 	expiring := !rec.expires.IsZero()
 	rec.rumour = r
+	rec.ended = false
 	rec.expires = time.Time{}
 	if r.Remaining > 0 {
-		rec.expires = now.Add(time.Duration(r.Remaining) * time.Second)
+		rec.expires = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
 	if !expiring && r.Remaining > 0 {
 		s.expiring = append(s.expiring, rec)
 	}
 	if !r.background() {
-		s.digest[bucket] ^= rec.hash
-		rec.hash = hashRumour(r)
-		s.digest[bucket] ^= rec.hash
+		s.rehash(rec, hashRumour(r))
 	}
 	return true
 }
 
-// expire forgets the rumours whose time is over.
+// rehash replaces a record's part of the digest.
+func (s *rumourStore) rehash(rec *rumourRecord, hash uint64) {
+	bucket := rumourBucket(rec.rumour.id())
+	s.digest[bucket] ^= rec.hash ^ hash
+	rec.hash = hash
+}
+
+// get returns a rumour whose time is not over.
+func (s *rumourStore) get(id rumourID) (*rumourRecord, bool) {
+	rec, ok := s.records[id]
+	return rec, ok && !rec.ended
+}
+
+// expire ends the rumours whose time is over, and forgets those that ended some
+// time ago.
 func (s *rumourStore) expire(now time.Time) {
+	if now.Before(s.next) {
+		return
+	}
+	s.next = now.Add(expiryPeriod)
 	kept := s.expiring[:0]
 	for _, rec := range s.expiring {
 		if rec.expires.IsZero() {
 			continue
 		}
-		if now.Before(rec.expires) {
-			kept = append(kept, rec)
+		if !now.Before(rec.expires.Add(endedLifetime)) {
+			s.drop(rec)
 			continue
 		}
-		s.drop(rec)
+		kept = append(kept, rec)
+		if !rec.ended && !now.Before(rec.expires) {
+			rec.ended = true
+			s.rehash(rec, 0)
+		}
 	}
 	clear(s.expiring[len(kept):])
 	s.expiring = kept
@@ -92,7 +124,6 @@
 	id := rec.rumour.id()
 	delete(s.records, id)
 	bucket := rumourBucket(id)
-	s.digest[bucket] ^= rec.hash
 	for i, r := range s.buckets[bucket] {
 		if r == rec {
 			s.buckets[bucket] = append(s.buckets[bucket][:i], s.buckets[bucket][i+1:]...)
@@ -103,7 +134,12 @@
 
 // bucketRecords returns the rumours of a bucket in the order of their hashes.
 func (s *rumourStore) bucketRecords(bucket int) []*rumourRecord {
-	found := append([]*rumourRecord(nil), s.buckets[bucket]...)
+	var found []*rumourRecord
+	for _, rec := range s.buckets[bucket] {
+		if !rec.ended {
+			found = append(found, rec)
+		}
+	}
 	sort.Slice(found, func(i, j int) bool { return found[i].hash < found[j].hash })
 	return found
 }
--- a/member/speaker.go
+++ b/member/speaker.go
@@ -136,7 +136,7 @@
 	}
 	r := Rumour{Topic: id.topic, Key: id.key, Payload: payload}
 	if value.Count == 0 {
-		r = r.WithRemaining(uint32(g.settings.TombstoneLifetime / time.Second))
+		r = r.WithLifetime(g.settings.TombstoneLifetime)
 	}
 	g.originate(r, now)
 }
--- a/member/spread.go
+++ b/member/spread.go
@@ -17,7 +17,7 @@
 	if len(r.Payload) > g.settings.PayloadLimit {
 		return Output{}, fmt.Errorf("publish %d bytes: %w", len(r.Payload), ErrPayloadTooLarge)
 	}
-	r = r.WithRemaining(uint32((lifetime + time.Second - 1) / time.Second))
+	r = r.WithLifetime(lifetime)
 	g.originate(r, now)
 	return g.take(), nil
 }
@@ -48,6 +48,9 @@
 // new. Those that are new are passed on if spread is set.
 func (g *Group) hear(r Rumour, from string, now time.Time, spread bool) bool {
 	if len(r.Payload) > g.settings.PayloadLimit || !g.rumours.put(r, now, g.settings.RumourLimit) {
+		if r.internal() {
+			g.queue.heard(queued{rumour: r.id()})
+		}
 		return false
 	}
 	if r.internal() {
@@ -66,7 +69,7 @@
 func (g *Group) Rumours(topic string, now time.Time) []Rumour {
 	var found []Rumour
 	for id, rec := range g.rumours.records {
-		if id.topic == topic {
+		if id.topic == topic && !rec.ended {
 			found = append(found, rec.at(now))
 		}
 	}
@@ -75,18 +78,37 @@
 }
 
 // push sends the queued entries to a few random members. Background rumours wait
-// until a probe carries them.
+// until a probe carries them. When much is queued, as after the crash of a rack,
+// the budget makes pushes rarer instead of more.
 func (g *Group) push(now time.Time) {
+	g.refill(now)
 	if now.Before(g.timers.push) || !g.urgent() {
 		return
 	}
 	g.timers.push = now.Add(g.settings.PushPeriod)
 	for _, rec := range g.roster.sample(g.settings.PushFanout, g.random, "") {
 		m := g.message(Gossip)
+		if g.budget < m.size()+min(g.queue.size(g), g.settings.MessageLimit/2) {
+			return
+		}
 		g.fill(&m)
-		if len(m.Members)+len(m.Rumours) > 0 {
-			g.send(rec.member.Address, m)
+		if len(m.Members)+len(m.Rumours) == 0 {
+			return
 		}
+		g.budget -= m.size() + datagramSize
+		g.send(rec.member.Address, m)
+	}
+}
+
+// datagramSize is what a message of its own costs beside its content, in bytes.
+const datagramSize = 60
+
+// refill adds to the budget what the time since the last tick gives.
+func (g *Group) refill(now time.Time) {
+	gained := int(now.Sub(g.refilled) * time.Duration(g.settings.SpreadRate) / time.Second)
+	if gained > 0 {
+		g.refilled = now
+		g.budget = min(g.budget+gained, g.settings.SpreadBurst)
 	}
 }
 
@@ -97,36 +119,61 @@
 	})
 }
 
-// fill adds queued entries to a message up to the size limit, the least often
-// sent first.
+// fill adds queued entries to a message up to the size limit and the budget, the
+// least often sent first. Half of the room is kept for the rumours of others, so
+// that a configuration is not late because many members changed.
 func (g *Group) fill(m *Message) {
 	room := g.settings.MessageLimit - m.size()
 	for _, s := range m.Members {
 		room -= s.size()
 	}
+	room = min(room, g.budget)
 	g.queue.sort()
-	now := g.timers.last
+	used := g.fillFrom(m, room/2, true)
+	used += g.fillFrom(m, room-used, false)
+	g.budget -= used
+	g.queue.prune(retransmits(g.settings.RetransmitFactor, len(g.roster.order)))
+}
+
+// fillFrom adds queued entries, either the rumours of others or all else, and
+// returns their size.
+func (g *Group) fillFrom(m *Message, room int, others bool) int {
+	used := 0
 	for i := range g.queue.entries {
 		e := &g.queue.entries[i]
-		if e.host != "" {
-			if rec, ok := g.roster.records[e.host]; ok && rec.member.size() <= room {
-				m.Members = append(m.Members, rec.member)
-				room -= rec.member.size()
-			} else if ok {
-				continue
-			}
-			e.sends++
+		if e.others() != others {
 			continue
 		}
-		rec, ok := g.rumours.records[e.rumour]
-		if ok && rec.rumour.size() > room {
+		size, ok := g.sizeOf(*e)
+		if ok && size > room-used {
 			continue
 		}
-		if ok {
-			m.Rumours = append(m.Rumours, rec.at(now))
-			room -= rec.rumour.size()
-		}
 		e.sends++
+		if !ok {
+			continue
+		}
+		used += size
+		if e.host != "" {
+			m.Members = append(m.Members, g.roster.records[e.host].member)
+			continue
+		}
+		m.Rumours = append(m.Rumours, g.rumours.records[e.rumour].at(g.timers.last))
 	}
-	g.queue.prune(retransmits(g.settings.RetransmitFactor, len(g.roster.order)))
+	return used
+}
+
+// sizeOf returns the size of a queued entry, unless it is no longer held.
+func (g *Group) sizeOf(e queued) (int, bool) {
+	if e.host != "" {
+		rec, ok := g.roster.records[e.host]
+		if !ok {
+			return 0, false
+		}
+		return rec.member.size(), true
+	}
+	rec, ok := g.rumours.get(e.rumour)
+	if !ok {
+		return 0, false
+	}
+	return rec.rumour.size(), true
 }
--- a/member/zones.go
+++ b/member/zones.go
@@ -190,7 +190,7 @@
 	for _, name := range g.zones.names {
 		var rumours []Rumour
 		for _, o := range g.zones.outward {
-			if rec, ok := g.rumours.records[o.id]; ok && o.from != name {
+			if rec, ok := g.rumours.get(o.id); ok && o.from != name {
 				rumours = append(rumours, rec.at(now))
 			}
 		}
--- a/trial/gossip/network.go
+++ b/trial/gossip/network.go
@@ -210,6 +210,21 @@
 	}
 }
 
+// Introduce makes every host hold all hosts of its zone, as after a completed
+// join, without the traffic of joining.
+func (n *Network) Introduce() {
+	members := make(map[string][]member.Member)
+	for _, h := range n.Hosts {
+		members[h.Zone] = append(members[h.Zone], h.Group.Self())
+	}
+	for _, h := range n.Hosts {
+		h.Group.Receive(member.Message{
+			Format: 1, Kind: member.Entries, Zone: h.Zone,
+			From: members[h.Zone][0], Members: members[h.Zone],
+		}, n.Now)
+	}
+}
+
 // ResetCounters sets the counters of all hosts to zero.
 func (n *Network) ResetCounters() {
 	for _, h := range n.Hosts {
