Read and check the configuration whole

Operators need every fault of a document in one run, each with its line, and the INI library reports one fault and no lines. A small index of lines stands beside the library, which still reads the values. Ruled out: a parser of our own; reporting faults one at a time.

--- /dev/null
+++ b/internal/version/document/document.go
@@ -0,0 +1,174 @@
+// Package document reads INI documents and collects every fault in them with its
+// line. Settings and configurations are both read through it. Values come from
+// the INI library; an index of lines beside it finds where each one stands.
+package document
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/bilberryvane/bilberryvane/internal/version/key"
+)
+
+// MaxSize is the largest document that is read, in bytes.
+const MaxSize = 8 << 20
+
+// A Document is the content of one INI file and the faults found in it so far.
+// It is used by one goroutine.
+type Document struct {
+	name     string
+	sections []*Section
+	faults   Faults
+}
+
+// Read splits a document into its sections. It always returns a document: what
+// can't be read becomes a fault, and Err returns all of them.
+func Read(name string, content []byte) *Document {
+	d := &Document{name: name}
+	if len(content) > MaxSize {
+		d.Report(1, "the document has %d bytes, more than the %d allowed", len(content), MaxSize)
+		return d
+	}
+	if !utf8.Valid(content) {
+		d.Report(1, "the document is not valid UTF-8")
+		return d
+	}
+	readable := d.index(bytes.TrimPrefix(content, []byte("\ufeff")))
+	if err := d.load(readable); err != nil {
+		d.Report(1, "the document can't be read: %v", err)
+	}
+	return d
+}
+
+// Report adds a fault at a line. Words that look like keys are left out of it.
+func (d *Document) Report(line int, format string, values ...any) {
+	reason := key.Redact(fmt.Sprintf(format, values...))
+	d.faults = append(d.faults, Fault{File: d.name, Line: line, Reason: reason})
+}
+
+// Err returns all faults in the order of their lines as Faults, or nil.
+func (d *Document) Err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	return d.faults.sorted()
+}
+
+// Sections returns the sections in the order in which they stand.
+func (d *Document) Sections() []*Section { return d.sections }
+
+// Unique reports every section whose kind and name stood before.
+func (d *Document) Unique() {
+	first := make(map[string]int, len(d.sections))
+	for _, s := range d.sections {
+		title := s.title()
+		if line, ok := first[title]; ok {
+			d.Report(s.line, "section %q stands twice, first at line %d", title, line)
+			continue
+		}
+		first[title] = s.line
+	}
+}
+
+// index finds the line of each section and value, reports lines that are
+// neither, and returns the content with those lines left empty.
+func (d *Document) index(content []byte) []byte {
+	lines := strings.Split(string(content), "\n")
+	for i, line := range lines {
+		text := strings.TrimSpace(line)
+		var reason string
+		switch {
+		case text == "" || isComment(text):
+			continue
+		case text[0] == '[':
+			reason = d.indexHeader(i+1, text)
+		default:
+			reason = d.indexEntry(i+1, text)
+		}
+		if reason != "" {
+			d.Report(i+1, "%s", reason)
+			lines[i] = ""
+		}
+	}
+	return []byte(strings.Join(lines, "\n"))
+}
+
+func (d *Document) indexHeader(line int, text string) string {
+	end := strings.LastIndexByte(text, ']')
+	if end < 0 {
+		return fmt.Sprintf("section %q lacks its closing bracket", text)
+	}
+	rest := strings.TrimSpace(text[end+1:])
+	if rest != "" && !isComment(rest) {
+		return fmt.Sprintf("unexpected text %q after the section", rest)
+	}
+	words := strings.Fields(text[1:end])
+	if len(words) == 0 {
+		return "a section without a name"
+	}
+	s := &Section{document: d, line: line, kind: words[0], name: strings.Join(words[1:], " ")}
+	s.entries = make(map[string]entry)
+	d.sections = append(d.sections, s)
+	return ""
+}
+
+func (d *Document) indexEntry(line int, text string) string {
+	name, value, ok := strings.Cut(text, "=")
+	name = strings.TrimSpace(name)
+	value = strings.TrimSpace(value)
+	if !ok || name == "" || strings.ContainsAny(name[:1], "\"`") {
+		return fmt.Sprintf("%q is neither a section nor a key with a value", abbreviate(text))
+	}
+	if strings.HasPrefix(value, "`") || strings.HasPrefix(value, `"""`) {
+		return fmt.Sprintf("key %q: values in back quotes or triple quotes are not allowed", name)
+	}
+	if len(d.sections) == 0 {
+		return fmt.Sprintf("key %q stands before the first section", name)
+	}
+	s := d.sections[len(d.sections)-1]
+	if first, ok := s.entries[name]; ok {
+		return fmt.Sprintf("key %q stands twice in its section, first at line %d", name, first.line)
+	}
+	s.entries[name] = entry{line: line}
+	return ""
+}
+
+// load reads the values of all indexed entries with the INI library.
+func (d *Document) load(content []byte) error {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections:   true,
+		IgnoreContinuation:       true,
+		SpaceBeforeInlineComment: true,
+		KeyValueDelimiters:       "=",
+		ChildSectionDelimiter:    "\n",
+	}, content)
+	if err != nil {
+		return fmt.Errorf("load INI: %w", err)
+	}
+	loaded := file.Sections()
+	if len(loaded) != len(d.sections)+1 {
+		return fmt.Errorf("found %d sections, want %d", len(loaded)-1, len(d.sections))
+	}
+	for i, s := range d.sections {
+		for name, e := range s.entries {
+			e.value = loaded[i+1].Key(name).Value()
+			s.entries[name] = e
+		}
+	}
+	return nil
+}
+
+func isComment(text string) bool { return text[0] == '#' || text[0] == ';' }
+
+// abbreviate shortens text for use in a fault.
+func abbreviate(text string) string {
+	const longest = 40
+	if len(text) <= longest {
+		return text
+	}
+	return strings.ToValidUTF8(text[:longest], "") + "..."
+}
--- a/internal/version/key/key.go
+++ b/internal/version/key/key.go
@@ -8,6 +8,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"strings"
 )
 
 // secretBytes is the number of random bytes in a key: 256 bits.
@@ -16,6 +17,9 @@
 // prefix marks a key, so that leaks can be searched for.
 const prefix = "bbv-"
 
+// redacted stands in messages where a key stood.
+const redacted = "[key]"
+
 // A Hash is the SHA-256 of a key. A plain hash suffices because keys are random.
 type Hash [sha256.Size]byte
 
@@ -57,3 +61,32 @@
 	// Hash is the hash of the secret.
 	Hash Hash
 }
+
+// Redact returns the text with every word in it that looks like a key replaced,
+// so that a key pasted in the wrong place reaches no message or log.
+func Redact(text string) string {
+	var b strings.Builder
+	for {
+		before, after, found := strings.Cut(text, prefix)
+		b.WriteString(before)
+		if !found {
+			return b.String()
+		}
+		b.WriteString(redacted)
+		end := strings.IndexFunc(after, func(r rune) bool { return !isSecretRune(r) })
+		if end < 0 {
+			return b.String()
+		}
+		text = after[end:]
+	}
+}
+
+// isSecretRune reports whether a rune occurs in the printable form of a key.
+func isSecretRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '-', r == '_':
+		return true
+	default:
+		return false
+	}
+}
