Run a deployment as processes and load it

Ruled out: a simulator; the demonstration starts the real programs on loopback. Change: trial-demo starts 12 nodes with 12 backend servers in 3 zones and the platform stand-in, loads them with four client accounts, kills a host at 5 s, stops the platform from 8 s to 14 s and compares what callers were told with what the backend servers noted. The account at 5 times its rate is not held back yet.

--- a/trial/backend/backend.go
+++ b/trial/backend/backend.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -45,14 +46,17 @@
 	// Calls are request paths of other services, such as "/stock/items", that are
 	// called in turn for each request.
 	Calls []string
+	// Runs gets one line of JSON for each request as it begins to run.
+	Runs io.Writer
 	// Crashes lets a request with a poisoned body end the process.
 	Crashes bool
 }
 
 // A Run is one request that was run, for checks of what ran and how often.
 type Run struct {
-	RequestKey string `json:"request-key"`
-	Path       string `json:"path"`
+	Key     string `json:"key"`
+	Path    string `json:"path"`
+	Service string `json:"service"`
 }
 
 // A Server is a running stand-in.
@@ -147,9 +151,6 @@
 
 func (b *Server) serve(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
-	case "/trial/runs":
-		b.writeRuns(ctx)
-		return
 	case "/trial/slow":
 		b.Slow(ctx.QueryArgs().GetUintOrZero("factor"))
 		return
@@ -185,19 +186,18 @@
 func (b *Server) record(ctx *fasthttp.RequestCtx) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runs = append(b.runs, Run{
-		RequestKey: string(ctx.Request.Header.Peek("X-Request-Key")),
-		Path:       string(ctx.Path()),
-	})
-}
-
-func (b *Server) writeRuns(ctx *fasthttp.RequestCtx) {
-	body, err := json.Marshal(b.Runs())
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	r := Run{
+		Key:     string(ctx.Request.Header.Peek("X-Request-Key")),
+		Path:    string(ctx.Path()),
+		Service: b.settings.Service,
+	}
+	b.runs = append(b.runs, r)
+	if b.settings.Runs == nil {
 		return
 	}
-	ctx.SetBody(body)
+	if line, err := json.Marshal(r); err == nil {
+		_, _ = b.settings.Runs.Write(append(line, '\n')) // A lost line shows as a lost request.
+	}
 }
 
 // callOthers calls the other services through the node and returns the status
--- a/trial/cmd/trial-backend/main.go
+++ b/trial/cmd/trial-backend/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -26,6 +27,7 @@
 	ServiceTime time.Duration `arg:"--service-time" default:"5ms" help:"time that a request holds a slot"`
 	ColdStart   time.Duration `arg:"--cold-start" help:"time of slow service after the start"`
 	Calls       []string      `arg:"--calls" help:"paths of other services to call for each request"`
+	Runs        string        `arg:"--runs" help:"file to which each request that is run is noted"`
 	Crashes     bool          `arg:"--crashes" help:"let a poisoned request end the process"`
 }
 
@@ -43,7 +45,17 @@
 func run(ctx context.Context, a arguments) error {
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	var runs io.Writer
+	if a.Runs != "" {
+		file, err := os.OpenFile(a.Runs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("open runs: %w", err)
+		}
+		defer file.Close()
+		runs = file
+	}
 	server, err := backend.Start(running, backend.Settings{
+		Runs:    runs,
 		Service: a.Service, Listen: a.Listen, Node: a.Node, Slots: a.Slots, Connections: a.Connections,
 		ServiceTime: a.ServiceTime, ColdStart: a.ColdStart, Calls: a.Calls, Crashes: a.Crashes,
 	})
--- a/trial/cmd/trial-demo/main.go
+++ b/trial/cmd/trial-demo/main.go
@@ -1,4 +1,263 @@
-// Command trial-demo belongs to the trials.
+// Command trial-demo starts a small deployment as processes on loopback, loads
+// it, kills a host and stops the platform midway, and prints how it fared. It
+// ends with an error if a request was lost or ran twice.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/bilberryvane/bilberryvane/trial/deployment"
+	"github.com/bilberryvane/bilberryvane/trial/fleet"
+	"github.com/bilberryvane/bilberryvane/trial/load"
+	"github.com/bilberryvane/bilberryvane/trial/measure"
+)
+
+// The course of the demonstration, counted from the start of the load.
+const (
+	loadTime     = 20 * time.Second
+	killAt       = 5 * time.Second
+	platformDown = 8 * time.Second
+	platformUp   = 14 * time.Second
+	// sampleTime is how long latency is measured before the load.
+	sampleTime = 3 * time.Second
+	// sampleRate is the rate of those requests a second.
+	sampleRate = 100
+)
+
+type arguments struct {
+	Seed uint64 `arg:"--seed" default:"20261204" help:"seed of the load's arrival times"`
+	Keep bool   `arg:"--keep" help:"keep the directory with the processes' logs"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "demonstration failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a arguments) error {
+	programs, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find programs: %w", err)
+	}
+	directory, err := os.MkdirTemp("", "bilberryvane-demo-")
+	if err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	if a.Keep {
+		fmt.Println("logs are in", directory)
+	} else {
+		defer func() { _ = os.RemoveAll(directory) }()
+	}
+	f, err := fleet.Start(filepath.Dir(programs), directory, layout(), servers())
+	if err != nil {
+		return fmt.Errorf("start fleet: %w", err)
+	}
+	defer f.Stop()
+	ctx := context.Background()
+	if err := f.WaitReady(ctx, "POST", "/planning/routes", f.Deployment.Keys["depot-nord"]); err != nil {
+		return fmt.Errorf("wait for fleet: %w", err)
+	}
+	fmt.Printf("started %d nodes in %d zones\n", len(f.Hosts), len(f.Deployment.Layout.Zones))
+	sampleLatency(ctx, f, a.Seed)
+	return drive(ctx, f, a.Seed)
+}
+
+func layout() deployment.Layout {
+	return deployment.Layout{
+		Zones: []string{"bayern-1", "bayern-2", "bayern-3"},
+		Hosts: 2,
+		Services: []deployment.Service{
+			{Name: "planning", Calls: []string{"stock"}},
+			{Name: "stock"},
+		},
+		Classes: []deployment.Class{
+			{Name: "completion", Service: "planning", Method: "POST", PathPrefix: "/completions", Target: 400 * time.Millisecond, Importance: 5},
+			{Name: "route-sheet", Service: "planning", Method: "POST", PathPrefix: "/routes", Target: 400 * time.Millisecond, Importance: 4, Idempotent: true},
+			{Name: "stock-lookup", Service: "stock", PathPrefix: "/items", Target: 300 * time.Millisecond, Importance: 3, Idempotent: true},
+			{Name: "colour-lookup", Service: "stock", PathPrefix: "/colours", Target: 300 * time.Millisecond, Importance: 1, Idempotent: true},
+		},
+		Accounts: []deployment.Account{
+			{Name: "depot-nord", Rate: 400, Burst: 200},
+			{Name: "depot-sued", Rate: 200, Burst: 100},
+			{Name: "depot-west", Rate: 100, Burst: 50},
+			{Name: "depot-laut", Rate: 100, Burst: 50},
+		},
+	}
+}
+
+func servers() map[string]fleet.Server {
+	return map[string]fleet.Server{
+		"planning": {Slots: 20, Connections: 200, ServiceTime: 5 * time.Millisecond, Calls: []string{"/stock/items"}},
+		"stock":    {Slots: 20, Connections: 200, ServiceTime: 5 * time.Millisecond},
+	}
+}
+
+// sampleLatency compares calls through the system with calls straight to a
+// backend server, at a load far below saturation.
+func sampleLatency(ctx context.Context, f *fleet.Fleet, seed uint64) {
+	stock := f.Deployment.HostsOf("stock")
+	driver := load.New(seed)
+	direct := load.Stream{
+		Name: "direct", Class: "colour-lookup", Method: "GET", Path: "/colours", Rate: sampleRate, Timeout: time.Second,
+	}
+	through := direct
+	through.Name, through.Path, through.Secret = "through", "/stock/colours", f.Deployment.Keys["depot-nord"]
+	for _, h := range stock {
+		direct.Entries = append(direct.Entries, h.Server)
+	}
+	through.Entries = f.Entries("")
+	var streams sync.WaitGroup
+	for _, s := range []load.Stream{direct, through} {
+		streams.Go(func() { driver.Run(ctx, s, sampleTime) })
+	}
+	streams.Wait()
+	results := driver.Results()
+	straight := load.Latencies(of(results, "direct"))
+	added := load.Latencies(of(results, "through"))
+	const perMillisecond = 1000.0
+	fmt.Printf("latency p50/p99: direct %.2f/%.2f ms, through two nodes %.2f/%.2f ms, added at p99 %.2f ms (target 1.6 ms)\n",
+		float64(straight.ValueAtQuantile(50))/perMillisecond, float64(straight.ValueAtQuantile(99))/perMillisecond,
+		float64(added.ValueAtQuantile(50))/perMillisecond, float64(added.ValueAtQuantile(99))/perMillisecond,
+		float64(added.ValueAtQuantile(99)-straight.ValueAtQuantile(99))/perMillisecond)
+}
+
+func of(results []load.Result, stream string) []load.Result {
+	var found []load.Result
+	for _, r := range results {
+		if r.Stream == stream {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+func streams(f *fleet.Fleet, lost *fleet.Host) []load.Stream {
+	var entries []string
+	for _, h := range f.Hosts {
+		if h != lost {
+			entries = append(entries, h.Callers)
+		}
+	}
+	key := f.Deployment.Keys
+	base := load.Stream{Entries: entries, Method: "POST", Timeout: 3 * time.Second}
+	with := func(name, account, class, path string, rate float64, once bool) load.Stream {
+		s := base
+		s.Name, s.Account, s.Class, s.Path, s.Rate, s.Once = name, account, class, path, rate, once
+		s.Secret = key[account]
+		if once {
+			s.Resends = 3
+		}
+		return s
+	}
+	return []load.Stream{
+		with("completions-nord", "depot-nord", "completion", "/planning/completions", 60, true),
+		with("routes-nord", "depot-nord", "route-sheet", "/planning/routes", 150, false),
+		with("routes-sued", "depot-sued", "route-sheet", "/planning/routes", 100, false),
+		with("completions-west", "depot-west", "completion", "/planning/completions", 30, true),
+		with("colours-west", "depot-west", "colour-lookup", "/stock/colours", 40, false),
+		with("routes-laut", "depot-laut", "route-sheet", "/planning/routes", 500, false),
+	}
+}
+
+// drive loads the fleet, breaks it midway and reports.
+func drive(ctx context.Context, f *fleet.Fleet, seed uint64) error {
+	lost := f.Hosts[len(f.Hosts)-2]
+	driver := load.New(seed)
+	all := streams(f, lost)
+	var running sync.WaitGroup
+	for _, s := range all {
+		running.Go(func() { driver.Run(ctx, s, loadTime) })
+	}
+	faults := make(chan error, 1)
+	go func() { faults <- breakThings(f, lost) }()
+	running.Wait()
+	if err := <-faults; err != nil {
+		return err
+	}
+	return report(f, all, driver.Results())
+}
+
+func breakThings(f *fleet.Fleet, lost *fleet.Host) error {
+	time.Sleep(killAt)
+	f.Kill(lost)
+	fmt.Printf("at %s host %s was killed\n", killAt, lost.Name)
+	time.Sleep(platformDown - killAt)
+	if err := f.Fault(`{"down":true}`); err != nil {
+		return fmt.Errorf("stop platform: %w", err)
+	}
+	fmt.Printf("at %s the platform was stopped\n", platformDown)
+	time.Sleep(platformUp - platformDown)
+	if err := f.Fault(`{"down":false}`); err != nil {
+		return fmt.Errorf("start platform: %w", err)
+	}
+	fmt.Printf("at %s the platform was back\n", platformUp)
+	return nil
+}
+
+func report(f *fleet.Fleet, all []load.Stream, results []load.Result) error {
+	targets := map[string]time.Duration{}
+	for _, c := range f.Deployment.Layout.Classes {
+		targets[c.Name] = c.Target
+	}
+	calm := measure.Goodput(results, targets, time.Second, killAt)
+	fmt.Printf("goodput: %.0f/s before the faults, %.0f/s in all\n", calm, measure.Goodput(results, targets, time.Second, loadTime))
+	recovery, ok := measure.Recovery(results, targets, killAt, platformDown, 0.95*calm)
+	fmt.Printf("recovery to 95%% after the host was killed: %s (reached: %t)\n", recovery, ok)
+	inside := map[string]bool{"depot-nord": true, "depot-sued": true, "depot-west": true}
+	wrongful, sent := 0, 0
+	for _, a := range measure.Accounts(results, targets, inside) {
+		fmt.Printf("account %-11s sent %5d, in time %5d (%.2f%%), refused %5d, wrongly for its rate %d\n",
+			a.Name, a.Sent, a.Good, 100*a.Share(), a.Refused, a.Wrongful)
+		if inside[a.Name] {
+			wrongful += a.Wrongful
+			sent += a.Sent
+		}
+	}
+	fmt.Printf("wrongful refusals: %d of %d requests of accounts inside their rate\n", wrongful, sent)
+	for reason, n := range measure.Reasons(results) {
+		fmt.Printf("refused %-32s %d\n", reason, n)
+	}
+	runs, err := f.Runs()
+	if err != nil {
+		return fmt.Errorf("read what ran: %w", err)
+	}
+	var once []string
+	for _, s := range all {
+		if s.Once {
+			once = append(once, s.Name)
+		}
+	}
+	found := append(measure.Violations(of(results, "colours-west"), runs, "stock", once),
+		measure.Violations(notOf(results, "colours-west"), runs, "planning", once)...)
+	for i, v := range found {
+		if i < 20 {
+			fmt.Println("violation:", v)
+		}
+	}
+	if len(found) > 0 {
+		return fmt.Errorf("%d violations", len(found))
+	}
+	fmt.Println("no request was lost or ran twice")
+	return nil
+}
+
+func notOf(results []load.Result, stream string) []load.Result {
+	var found []load.Result
+	for _, r := range results {
+		if r.Stream != stream {
+			found = append(found, r)
+		}
+	}
+	return found
+}
--- a/trial/deployment/deployment.go
+++ b/trial/deployment/deployment.go
@@ -21,6 +21,8 @@
 	firstPort = 8000
 	// portsPerDeployment separates the ports of a process's deployments.
 	portsPerDeployment = 10
+	// platformIndex is the place of the platform among the hosts' addresses.
+	platformIndex = 250
 	// maxDeployments bounds the deployments that a process can run at once.
 	maxDeployments = 1000
 )
@@ -60,7 +62,7 @@
 	Accounts []Account
 	// Hosts is the number of hosts of each service in each zone.
 	Hosts int
-	// Platform is the address of the platform's stand-in.
+	// Platform is the address of the platform's stand-in; Plan fills it if empty.
 	Platform string
 	// Extra is added to the settings of every host.
 	Extra string
@@ -86,11 +88,15 @@
 	// Configuration is the file with the configuration.
 	Configuration string
 	directory     string
+	number        int
 }
 
 // Plan chooses addresses and writes all files below a directory.
 func Plan(directory string, l Layout) (*Deployment, error) {
-	d := &Deployment{Layout: l, Keys: map[string]string{}, directory: directory}
+	d := &Deployment{Layout: l, Keys: map[string]string{}, directory: directory, number: int(planned.Add(1)) % maxDeployments}
+	if d.Layout.Platform == "" {
+		d.Layout.Platform = d.address(platformIndex, 0)
+	}
 	authority, err := identity.NewAuthority(time.Now(), lifetime)
 	if err != nil {
 		return nil, fmt.Errorf("make authority: %w", err)
@@ -119,12 +125,11 @@
 }
 
 func (d *Deployment) planHosts() {
-	number := int(planned.Add(1)) % maxDeployments
 	for _, zone := range d.Layout.Zones {
 		for _, s := range d.Layout.Services {
 			for i := range d.Layout.Hosts {
 				h := Host{Name: fmt.Sprintf("%s-%s-%d", zone, s.Name, i+1), Zone: zone, Service: s.Name}
-				h.chooseAddresses(number, len(d.Hosts))
+				d.chooseAddresses(&h)
 				h.Settings = filepath.Join(d.directory, h.Name+".ini")
 				d.Hosts = append(d.Hosts, h)
 			}
@@ -132,16 +137,23 @@
 	}
 }
 
-// chooseAddresses gives the host a loopback address of its own. No outgoing
-// connection uses it as its source, so its ports can't be taken by chance.
-func (h *Host) chooseAddresses(deployment, index int) {
+// chooseAddresses gives the host addresses of its own.
+func (d *Deployment) chooseAddresses(h *Host) {
+	index := len(d.Hosts)
+	h.Callers = d.address(index, 0)
+	h.Peers = d.address(index, 1)
+	h.Backend = d.address(index, 2)
+	h.Operators = d.address(index, 3)
+	h.Server = d.address(index, 4)
+}
+
+// address returns a port of a loopback address that belongs to one host of this
+// process. No outgoing connection uses it as its source, so its ports can't be
+// taken by chance.
+func (d *Deployment) address(index, port int) string {
 	process := os.Getpid()
-	address := net.IPv4(127, byte(1+(process>>8)%250), byte(process), byte(1+index)).String()
-	port := func(offset int) string {
-		return net.JoinHostPort(address, strconv.Itoa(firstPort+deployment*portsPerDeployment+offset))
-	}
-	h.Callers, h.Peers, h.Backend, h.Operators = port(0), port(1), port(2), port(3)
-	h.Server = port(4)
+	address := net.IPv4(127, byte(1+(process>>8)%250), byte(process), byte(1+index))
+	return net.JoinHostPort(address.String(), strconv.Itoa(firstPort+d.number*portsPerDeployment+port))
 }
 
 func (d *Deployment) write(name string, content []byte) error {
