Notice a silent peer by probes while replies are awaited

Ruled out: a shorter idle timeout with keep-alives, because it costs bytes on every idle connection; a timeout for each try, because it doubles work when a service is slow.

--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -17,6 +17,9 @@
 // A Kind says what a message asks for and so which Handler gets it.
 type Kind uint16
 
+// KindPing asks whether the other node still works. The endpoint itself answers.
+const KindPing Kind = 2
+
 // KindCall asks the receiving node to execute a call on its backend server.
 const KindCall Kind = 1
 
@@ -34,8 +37,8 @@
 	StatusMalformed
 )
 
-// An envelope is the only item that a stream carries in each direction.
-type envelope struct {
+// An Envelope is the only item that a stream carries in each direction.
+type Envelope struct {
 	Version int    `cbor:"1,keyasint"`
 	Kind    Kind   `cbor:"2,keyasint"`
 	Status  Status `cbor:"3,keyasint,omitempty"`
@@ -60,27 +63,27 @@
 }
 
 // readEnvelope reads one bounded envelope up to the end of the stream.
-func readEnvelope(r io.Reader) (envelope, error) {
+func readEnvelope(r io.Reader) (Envelope, error) {
 	raw, err := io.ReadAll(io.LimitReader(r, MaxMessageBytes+1))
 	if err != nil {
-		return envelope{}, fmt.Errorf("read message: %w", err)
+		return Envelope{}, fmt.Errorf("read message: %w", err)
 	}
 	if len(raw) > MaxMessageBytes {
-		return envelope{}, fmt.Errorf("message is longer than %d bytes", MaxMessageBytes)
+		return Envelope{}, fmt.Errorf("message is longer than %d bytes", MaxMessageBytes)
 	}
-	return decodeEnvelope(raw)
+	return Decode(raw)
 }
 
-// decodeEnvelope decodes a raw envelope that came from another node.
-func decodeEnvelope(raw []byte) (envelope, error) {
-	var message envelope
+// Decode decodes a raw envelope that came from another node.
+func Decode(raw []byte) (Envelope, error) {
+	var message Envelope
 	if err := Decoder.Unmarshal(raw, &message); err != nil {
-		return envelope{}, fmt.Errorf("decode message: %w", err)
+		return Envelope{}, fmt.Errorf("decode message: %w", err)
 	}
 	return message, nil
 }
 
-func writeEnvelope(w io.Writer, message envelope) error {
+func writeEnvelope(w io.Writer, message Envelope) error {
 	raw, err := cbor.Marshal(message)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
--- a/internal/connection/peer/receive.go
+++ b/internal/connection/peer/receive.go
@@ -43,12 +43,16 @@
 		message, err := readEnvelope(stream)
 		if err != nil {
 			stream.CancelRead(codeCancelled)
-			reply(stream, envelope{Status: StatusMalformed})
+			reply(stream, Envelope{Status: StatusMalformed})
+			return
+		}
+		if message.Kind == KindPing && message.Version == ProtocolVersion {
+			reply(stream, Envelope{Kind: KindPing})
 			return
 		}
 		task := func() { e.answer(from, stream, message) }
 		if err := e.pool(message.Kind).Go(task); err != nil {
-			reply(stream, envelope{Kind: message.Kind, Status: StatusBusy})
+			reply(stream, Envelope{Kind: message.Kind, Status: StatusBusy})
 		}
 	}()
 }
@@ -61,14 +65,14 @@
 }
 
 // answer runs the handler of a message and sends its reply.
-func (e *Endpoint) answer(from Identity, stream *quic.Stream, message envelope) {
+func (e *Endpoint) answer(from Identity, stream *quic.Stream, message Envelope) {
 	if message.Version != ProtocolVersion {
-		reply(stream, envelope{Kind: message.Kind, Status: StatusIncompatible})
+		reply(stream, Envelope{Kind: message.Kind, Status: StatusIncompatible})
 		return
 	}
 	h, ok := e.handler(message.Kind)
 	if !ok {
-		reply(stream, envelope{Kind: message.Kind, Status: StatusNoHandler})
+		reply(stream, Envelope{Kind: message.Kind, Status: StatusNoHandler})
 		return
 	}
 	// The stream's context ends when the sender cancels its wait for the reply.
@@ -76,15 +80,15 @@
 	defer cancel()
 	body, err := h(ctx, from, message.Body)
 	if err != nil {
-		reply(stream, envelope{Kind: message.Kind, Status: StatusError, Body: []byte(err.Error())})
+		reply(stream, Envelope{Kind: message.Kind, Status: StatusError, Body: []byte(err.Error())})
 		return
 	}
-	reply(stream, envelope{Kind: message.Kind, Body: body})
+	reply(stream, Envelope{Kind: message.Kind, Body: body})
 }
 
 // reply sends a reply whole; a reply that can't be sent is reset, so that the
 // sender never takes a cut reply for a whole one.
-func reply(stream *quic.Stream, message envelope) {
+func reply(stream *quic.Stream, message Envelope) {
 	message.Version = ProtocolVersion
 	if err := writeEnvelope(stream, message); err != nil {
 		stream.CancelWrite(codeCancelled)
