Report the service-level burn

Ruled out: histograms for each class and account, because counts by minute suffice for achieved share and burn rate and cost 240 bytes a kind of result; drawing in the daemon, because it would carry the drawing library. Refusals that are the caller's doing do not burn.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/admitter"
+	"github.com/bilberryvane/bilberryvane/internal/process/burn"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
@@ -48,6 +49,7 @@
 	directory     *directory.Directory
 	refusals      *refusals.Log
 	metrics       *metrics.Metrics
+	burn          *burn.Recorder
 	callers       *caller.Server
 	local         *caller.Server
 	operators     *operator.Server
@@ -95,6 +97,7 @@
 		o(n)
 	}
 	n.backend = backend.NewClient(n.clock)
+	n.burn = burn.NewRecorder(s.Host.Name, n.clock)
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -32,7 +32,7 @@
 func (n *Node) Explain(requestID string) (refusal.Refusal, bool) { return n.refusals.Find(requestID) }
 
 // Burn returns how far the targets are met.
-func (n *Node) Burn() any { return nil }
+func (n *Node) Burn() any { return n.burn.Report() }
 
 // Metrics returns the node's metrics as JSON.
 func (n *Node) Metrics() string { return n.metrics.String() }
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -95,6 +95,7 @@
 // Record keeps how a request ended.
 func (n *Node) Record(c call.Context, target, elapsed time.Duration, a exchange.Answer) {
 	n.metrics.Record(c, target, elapsed, a)
+	n.burn.Record(c, target, elapsed, a)
 	if a.Refusal == nil {
 		return
 	}
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -87,6 +87,17 @@
 	IncompatiblePeer:      {http.StatusServiceUnavailable, "Another host speaks a different version of the internal protocol"},
 }
 
+// CallersDoing reports whether the caller, not the system, is the cause of
+// refusals with this reason.
+func (r Reason) CallersDoing() bool {
+	switch r {
+	case BadRequest, RequestTooLarge, MissingKey, UnknownKey, WithdrawnKey, UnknownService, UnknownClass,
+		UnknownRequestToken, MissingIdempotencyKey, RateExceeded, AlreadyRunning, Cancelled:
+		return true
+	}
+	return false
+}
+
 // statusClientClosedRequest is the customary status for a caller that gave up.
 const statusClientClosedRequest = 499
 
