--- a/internal/process/burn/recorder.go
+++ b/internal/process/burn/recorder.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// Short and Long are the windows that the report covers. A fast burn shows in
-	// the short one, a slow burn in the long one.
+	// Short is the window in which a fast burn shows.
 	Short = 5 * time.Minute
-	Long  = time.Hour
+	// Long is the window in which a slow burn shows.
+	Long = time.Hour
 
 	bucketLength = time.Minute
 	buckets      = int(Long / bucketLength)
