--- a/trial/backend/backend.go
+++ b/trial/backend/backend.go
@@ -46,6 +46,9 @@
 	// Calls are request paths of other services, such as "/stock/items", that are
 	// called in turn for each request.
 	Calls []string
+	// Direct holds the addresses of other services, which are then called straight
+	// and again after a failure, as plain clients do.
+	Direct map[string][]string
 	// Runs gets one line of JSON for each request as it begins to run.
 	Runs io.Writer
 	// Crashes lets a request with a poisoned body end the process.
@@ -69,7 +72,7 @@
 	client   *fasthttp.Client
 	leaving  atomic.Bool
 	slowed   atomic.Int64
-	done     atomic.Int64
+	next     atomic.Int64
 
 	mu   sync.Mutex
 	runs []Run
@@ -166,7 +169,6 @@
 	b.record(ctx)
 	time.Sleep(b.serviceTime())
 	answer := b.callOthers(ctx)
-	b.done.Add(1)
 	ctx.SetStatusCode(answer)
 	ctx.Response.Header.Set("X-Request-Key", string(ctx.Request.Header.Peek("X-Request-Key")))
 	ctx.SetBody(ctx.PostBody())
@@ -204,6 +206,12 @@
 // to answer with.
 func (b *Server) callOthers(ctx *fasthttp.RequestCtx) int {
 	for i, path := range b.settings.Calls {
+		if b.settings.Direct != nil {
+			if status := b.callDirect(ctx, path); status >= http.StatusBadRequest {
+				return status
+			}
+			continue
+		}
 		request := fasthttp.AcquireRequest()
 		response := fasthttp.AcquireResponse()
 		request.SetRequestURI("http://" + b.settings.Node + path)
--- a/trial/cmd/trial-backend/main.go
+++ b/trial/cmd/trial-backend/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -27,6 +28,7 @@
 	ServiceTime time.Duration `arg:"--service-time" default:"5ms" help:"time that a request holds a slot"`
 	ColdStart   time.Duration `arg:"--cold-start" help:"time of slow service after the start"`
 	Calls       []string      `arg:"--calls" help:"paths of other services to call for each request"`
+	Direct      []string      `arg:"--direct" help:"service=address pairs of servers to call straight"`
 	Runs        string        `arg:"--runs" help:"file to which each request that is run is noted"`
 	Crashes     bool          `arg:"--crashes" help:"let a poisoned request end the process"`
 }
@@ -42,6 +44,19 @@
 	}
 }
 
+// direct groups service=address pairs by service; nil without any.
+func direct(pairs []string) map[string][]string {
+	if len(pairs) == 0 {
+		return nil
+	}
+	servers := map[string][]string{}
+	for _, p := range pairs {
+		service, address, _ := strings.Cut(p, "=")
+		servers[service] = append(servers[service], address)
+	}
+	return servers
+}
+
 func run(ctx context.Context, a arguments) error {
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -55,7 +70,7 @@
 		runs = file
 	}
 	server, err := backend.Start(running, backend.Settings{
-		Runs:    runs,
+		Runs: runs, Direct: direct(a.Direct),
 		Service: a.Service, Listen: a.Listen, Node: a.Node, Slots: a.Slots, Connections: a.Connections,
 		ServiceTime: a.ServiceTime, ColdStart: a.ColdStart, Calls: a.Calls, Crashes: a.Crashes,
 	})
--- a/trial/cmd/trial-demo/main.go
+++ b/trial/cmd/trial-demo/main.go
@@ -212,7 +212,7 @@
 	}
 	calm := measure.Goodput(results, targets, time.Second, killAt)
 	fmt.Printf("goodput: %.0f/s before the faults, %.0f/s in all\n", calm, measure.Goodput(results, targets, time.Second, loadTime))
-	recovery, ok := measure.Recovery(results, targets, killAt, platformDown, 0.95*calm)
+	recovery, ok := measure.Recovery(results, targets, killAt, platformDown, 0.95*measure.Share(results, targets, time.Second, killAt))
 	fmt.Printf("recovery to 95%% after the host was killed: %s (reached: %t)\n", recovery, ok)
 	inside := map[string]bool{"depot-nord": true, "depot-sued": true, "depot-west": true}
 	wrongful, sent := 0, 0
--- a/trial/cmd/trial-load/main.go
+++ /dev/null
@@ -1,4 +0,0 @@
-// Command trial-load belongs to the trials.
-package main
-
-func main() {}
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -58,16 +58,26 @@
 	directory  string
 	servers    map[string]Server
 	platform   *exec.Cmd
+	direct     bool
 }
 
+// An Option changes how a fleet is started.
+type Option func(*Fleet)
+
+// WithDirect starts only the backend servers, which call one another directly.
+func WithDirect(direct bool) Option { return func(f *Fleet) { f.direct = direct } }
+
 // Start plans a deployment below a directory and starts its processes with the
 // programs of another one. Servers holds the behaviour for each service.
-func Start(programs, directory string, l deployment.Layout, servers map[string]Server) (*Fleet, error) {
+func Start(programs, directory string, l deployment.Layout, servers map[string]Server, options ...Option) (*Fleet, error) {
 	d, err := deployment.Plan(directory, l)
 	if err != nil {
 		return nil, fmt.Errorf("plan deployment: %w", err)
 	}
 	f := &Fleet{Deployment: d, programs: programs, directory: directory, servers: servers}
+	for _, o := range options {
+		o(f)
+	}
 	f.platform, err = f.start("platform", "trial-platform", "--listen", d.Layout.Platform)
 	if err != nil {
 		return nil, err
@@ -85,8 +95,7 @@
 
 // StartHost starts the processes of a host.
 func (f *Fleet) StartHost(h *Host) error {
-	var err error
-	if h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings, "--configuration", f.Deployment.Configuration); err != nil {
+	if err := f.startNode(h); err != nil {
 		return err
 	}
 	s := f.servers[h.Service]
@@ -101,10 +110,50 @@
 	if len(s.Calls) > 0 {
 		arguments = append(append(arguments, "--calls"), s.Calls...)
 	}
+	if f.direct {
+		arguments = append(append(arguments, "--direct"), f.directAddresses()...)
+	}
+	var err error
 	h.backend, err = f.start(h.Name+"-backend", "trial-backend", arguments...)
 	return err
 }
 
+// startNode starts the node of a host, unless the fleet has none.
+func (f *Fleet) startNode(h *Host) error {
+	if f.direct {
+		return nil
+	}
+	var err error
+	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings, "--configuration", f.Deployment.Configuration)
+	return err
+}
+
+// directAddresses lists all backend servers as service and address.
+func (f *Fleet) directAddresses() []string {
+	var addresses []string
+	for _, h := range f.Deployment.Hosts {
+		addresses = append(addresses, h.Service+"="+h.Server)
+	}
+	return addresses
+}
+
+// DirectEntries returns the backend servers that a request path leads to, and the
+// path as they know it.
+func (f *Fleet) DirectEntries(path string) ([]string, string) {
+	var addresses []string
+	service := ServiceOf(path)
+	for _, h := range f.Deployment.HostsOf(service) {
+		addresses = append(addresses, h.Server)
+	}
+	return addresses, strings.TrimPrefix(path, "/"+service)
+}
+
+// ServiceOf returns the service that a request path leads to.
+func ServiceOf(path string) string {
+	service, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return service
+}
+
 // start starts one program; its output goes to a file named after it.
 func (f *Fleet) start(name, program string, arguments ...string) (*exec.Cmd, error) {
 	out, err := os.OpenFile(filepath.Join(f.directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -153,12 +202,18 @@
 // Restart replaces the node of a host as operators do: it is told to leave and
 // started again when it has ended.
 func (f *Fleet) Restart(h *Host) error {
+	if f.direct {
+		return f.restartBackend(h)
+	}
 	if err := terminate(h.node); err != nil {
 		return fmt.Errorf("stop node of %s: %w", h.Name, err)
 	}
-	var err error
-	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings, "--configuration", f.Deployment.Configuration)
-	return err
+	return f.startNode(h)
+}
+
+func (f *Fleet) restartBackend(h *Host) error {
+	kill(h.backend)
+	return f.StartHost(h)
 }
 
 // Stop ends all processes.
--- a/trial/measure/measure.go
+++ b/trial/measure/measure.go
@@ -28,12 +28,29 @@
 	return float64(good) / (until - from).Seconds()
 }
 
-// Recovery returns how long after a trigger's end goodput was back at the given
-// rate for good: the end of the last window below it. False if it never was.
-func Recovery(results []load.Result, targets map[string]time.Duration, end, until time.Duration, rate float64) (time.Duration, bool) {
+// Share returns the part of the requests sent between two times that were
+// answered right and in time; 1 where none were sent.
+func Share(results []load.Result, targets map[string]time.Duration, from, until time.Duration) float64 {
+	sent, good := 0, 0
+	for _, r := range Between(results, from, until) {
+		sent++
+		if r.Good(targets[r.Class]) {
+			good++
+		}
+	}
+	if sent == 0 {
+		return 1
+	}
+	return float64(good) / float64(sent)
+}
+
+// Recovery returns how long after a trigger's end the share of good answers was
+// back at the given one for good: the end of the last window below it. False if
+// it never was. Shares, unlike rates, are not moved by the chance of arrivals.
+func Recovery(results []load.Result, targets map[string]time.Duration, end, until time.Duration, share float64) (time.Duration, bool) {
 	recovered := end
 	for from := end; from+window <= until; from += window {
-		if Goodput(results, targets, from, from+window) < rate {
+		if Share(results, targets, from, from+window) < share {
 			recovered = from + window
 		}
 	}
@@ -123,3 +140,50 @@
 	}
 	return counts
 }
+
+// Between returns the results of requests sent between two times of a load.
+func Between(results []load.Result, from, until time.Duration) []load.Result {
+	var found []load.Result
+	for _, r := range results {
+		if r.Start >= from && r.Start < until {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// InTime returns the share of the requests of some classes answered in time.
+func InTime(results []load.Result, targets map[string]time.Duration, classes []string) float64 {
+	sent, good := 0, 0
+	for _, r := range results {
+		if !slices.Contains(classes, r.Class) {
+			continue
+		}
+		sent++
+		if r.Good(targets[r.Class]) {
+			good++
+		}
+	}
+	return float64(good) / math.Max(1, float64(sent))
+}
+
+// Wasted returns the share of backend runs done for requests that got no good
+// answer, over all services of the chain.
+func Wasted(results []load.Result, runs []fleet.Run, targets map[string]time.Duration) float64 {
+	good := map[string]bool{}
+	for _, r := range results {
+		good[r.Key] = r.Good(targets[r.Class])
+	}
+	wasted, total := 0, 0
+	for _, r := range runs {
+		isGood, known := good[r.Key]
+		if !known {
+			continue
+		}
+		total++
+		if !isGood {
+			wasted++
+		}
+	}
+	return float64(wasted) / math.Max(1, float64(total))
+}
--- /dev/null
+++ b/trial/scenario/deployments.go
@@ -0,0 +1,146 @@
+// Package scenario measures the system under load and faults on real processes:
+// both deployments of the first users, the same seeds, against a baseline without
+// the system.
+package scenario
+
+import (
+	"time"
+
+	"github.com/bilberryvane/bilberryvane/trial/deployment"
+	"github.com/bilberryvane/bilberryvane/trial/fleet"
+)
+
+// A Flow is the steady demand of one client account for one class.
+type Flow struct {
+	Account string
+	Class   string
+	Path    string
+	// Rate is in requests a second.
+	Rate float64
+	Once bool
+}
+
+// A User is one of the first users: its services, classes, accounts and demand.
+type User struct {
+	Name    string
+	Layout  deployment.Layout
+	Servers map[string]fleet.Server
+	Flows   []Flow
+	// Front is the service that the flows of the chain call first.
+	Front string
+	// Deep is the service at the end of the chain.
+	Deep string
+	// Important are the classes that must stay inside their target under overload.
+	Important []string
+}
+
+// Targets returns the target of each class.
+func (u User) Targets() map[string]time.Duration {
+	targets := map[string]time.Duration{}
+	for _, c := range u.Layout.Classes {
+		targets[c.Name] = c.Target
+	}
+	return targets
+}
+
+// Kastenfarbe is a small likeness of Kastenfarbe Zentrale Bayern: four services,
+// a chain of three, eight client accounts of differing size.
+func Kastenfarbe() User {
+	const target = 500 * time.Millisecond
+	return User{
+		Name: "kastenfarbe", Front: "planning", Deep: "stock",
+		Important: []string{"completion", "route-sheet"},
+		Layout: deployment.Layout{
+			Zones: []string{"bayern-1", "bayern-2", "bayern-3"},
+			Hosts: 1,
+			Services: []deployment.Service{
+				{Name: "planning", Calls: []string{"billing"}},
+				{Name: "billing", Calls: []string{"stock"}},
+				{Name: "stock"},
+				{Name: "reporting"},
+			},
+			Classes: []deployment.Class{
+				{Name: "completion", Service: "planning", Method: "POST", PathPrefix: "/completions", Target: target, Importance: 5},
+				{Name: "route-sheet", Service: "planning", Method: "POST", PathPrefix: "/routes", Target: target, Importance: 4, Idempotent: true},
+				{Name: "route-preview", Service: "planning", Method: "POST", PathPrefix: "/previews", Target: target, Importance: 1, Idempotent: true},
+				{Name: "billing-call", Service: "billing", PathPrefix: "/accounts", Target: target, Importance: 3, Idempotent: true},
+				{Name: "stock-lookup", Service: "stock", PathPrefix: "/colours", Target: target, Importance: 2, Idempotent: true},
+				{Name: "graffiti-report", Service: "reporting", Method: "POST", PathPrefix: "/reports", Target: target, Importance: 3, Idempotent: true},
+			},
+			Accounts: accounts([]float64{300, 200, 150, 60, 60, 40, 40, 30}),
+		},
+		Servers: map[string]fleet.Server{
+			"planning":  {Slots: 16, Connections: 200, ServiceTime: 20 * time.Millisecond, Calls: []string{"/billing/accounts"}},
+			"billing":   {Slots: 16, Connections: 200, ServiceTime: 20 * time.Millisecond, Calls: []string{"/stock/colours"}},
+			"stock":     {Slots: 10, Connections: 200, ServiceTime: 20 * time.Millisecond},
+			"reporting": {Slots: 10, Connections: 200, ServiceTime: 20 * time.Millisecond},
+		},
+		Flows: []Flow{
+			{Account: "account-1", Class: "completion", Path: "/planning/completions", Rate: 60, Once: true},
+			{Account: "account-1", Class: "route-sheet", Path: "/planning/routes", Rate: 60},
+			{Account: "account-2", Class: "route-sheet", Path: "/planning/routes", Rate: 80},
+			{Account: "account-3", Class: "route-preview", Path: "/planning/previews", Rate: 90},
+			{Account: "account-4", Class: "completion", Path: "/planning/completions", Rate: 25, Once: true},
+			{Account: "account-5", Class: "route-preview", Path: "/planning/previews", Rate: 25},
+			{Account: "account-6", Class: "graffiti-report", Path: "/reporting/reports", Rate: 20},
+			{Account: "account-7", Class: "route-preview", Path: "/planning/previews", Rate: 20},
+			{Account: "account-8", Class: "route-sheet", Path: "/planning/routes", Rate: 15},
+		},
+	}
+}
+
+// Kjaersgaard is a small likeness of Kjærsgaard Vuggelinned: four services, a
+// chain of three, eight client accounts of differing size.
+func Kjaersgaard() User {
+	const target = 600 * time.Millisecond
+	return User{
+		Name: "kjaersgaard", Front: "catalogue", Deep: "packing",
+		Important: []string{"order"},
+		Layout: deployment.Layout{
+			Zones: []string{"herning-1", "herning-2", "herning-3"},
+			Hosts: 1,
+			Services: []deployment.Service{
+				{Name: "catalogue", Calls: []string{"stock"}},
+				{Name: "orders", Calls: []string{"stock"}},
+				{Name: "stock", Calls: []string{"packing"}},
+				{Name: "packing"},
+			},
+			Classes: []deployment.Class{
+				{Name: "order", Service: "orders", Method: "POST", PathPrefix: "/orders", Target: target, Importance: 5},
+				{Name: "browse", Service: "catalogue", Method: "POST", PathPrefix: "/bundles", Target: target, Importance: 2, Idempotent: true},
+				{Name: "stock-check", Service: "stock", PathPrefix: "/fabric", Target: target, Importance: 3, Idempotent: true},
+				{Name: "next-fold", Service: "packing", PathPrefix: "/folds", Target: target, Importance: 4, Idempotent: true},
+			},
+			Accounts: accounts([]float64{350, 250, 100, 60, 60, 40, 40, 30}),
+		},
+		Servers: map[string]fleet.Server{
+			"catalogue": {Slots: 14, Connections: 300, ServiceTime: 20 * time.Millisecond, Calls: []string{"/stock/fabric"}},
+			"orders":    {Slots: 14, Connections: 300, ServiceTime: 20 * time.Millisecond, Calls: []string{"/stock/fabric"}},
+			"stock":     {Slots: 14, Connections: 300, ServiceTime: 20 * time.Millisecond, Calls: []string{"/packing/folds"}},
+			"packing":   {Slots: 10, Connections: 300, ServiceTime: 20 * time.Millisecond},
+		},
+		Flows: []Flow{
+			{Account: "account-1", Class: "order", Path: "/orders/orders", Rate: 70, Once: true},
+			{Account: "account-1", Class: "browse", Path: "/catalogue/bundles", Rate: 70},
+			{Account: "account-2", Class: "browse", Path: "/catalogue/bundles", Rate: 110},
+			{Account: "account-3", Class: "order", Path: "/orders/orders", Rate: 45, Once: true},
+			{Account: "account-4", Class: "browse", Path: "/catalogue/bundles", Rate: 25},
+			{Account: "account-5", Class: "order", Path: "/orders/orders", Rate: 25, Once: true},
+			{Account: "account-6", Class: "next-fold", Path: "/packing/folds", Rate: 18},
+			{Account: "account-7", Class: "browse", Path: "/catalogue/bundles", Rate: 18},
+			{Account: "account-8", Class: "order", Path: "/orders/orders", Rate: 14, Once: true},
+		},
+	}
+}
+
+// accounts names accounts in the order of their rates. The burst is half a
+// second of the rate.
+func accounts(rates []float64) []deployment.Account {
+	named := make([]deployment.Account, 0, len(rates))
+	for i, rate := range rates {
+		named = append(named, deployment.Account{Name: accountName(i), Rate: rate, Burst: rate / 2})
+	}
+	return named
+}
+
+func accountName(i int) string { return "account-" + string(rune('1'+i)) }
