--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -78,6 +79,7 @@
 	for _, o := range options {
 		o(f)
 	}
+	f.stopOnSignal()
 	f.platform, err = f.start("platform", "trial-platform", "--listen", d.Layout.Platform)
 	if err != nil {
 		return nil, err
@@ -93,6 +95,17 @@
 	return f, nil
 }
 
+// stopOnSignal ends all processes when the trial itself is told to end.
+func (f *Fleet) stopOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-told
+		f.Stop()
+		os.Exit(1)
+	}()
+}
+
 // StartHost starts the processes of a host.
 func (f *Fleet) StartHost(h *Host) error {
 	if err := f.startNode(h); err != nil {
@@ -185,12 +198,12 @@
 }
 
 // Freeze stops the processes of a host from running; Thaw lets them go on.
-func (f *Fleet) Freeze(h *Host) error { return signal(h, syscall.SIGSTOP) }
+func (f *Fleet) Freeze(h *Host) error { return signalHost(h, syscall.SIGSTOP) }
 
 // Thaw lets the processes of a frozen host go on.
-func (f *Fleet) Thaw(h *Host) error { return signal(h, syscall.SIGCONT) }
+func (f *Fleet) Thaw(h *Host) error { return signalHost(h, syscall.SIGCONT) }
 
-func signal(h *Host, s syscall.Signal) error {
+func signalHost(h *Host, s syscall.Signal) error {
 	for _, c := range []*exec.Cmd{h.node, h.backend} {
 		if err := c.Process.Signal(s); err != nil {
 			return fmt.Errorf("signal %s: %w", h.Name, err)
