Prove that keys end at the entry and that a cut-off zone serves on

Cause: both promises had a mechanism but no test. Ruled out: network namespaces for the cut, because a filter on the UDP socket shows the same loss of packets inside one process and runs anywhere.

--- a/internal/connection/peer/endpoint.go
+++ b/internal/connection/peer/endpoint.go
@@ -82,8 +82,25 @@
 	links    map[string]*link
 }
 
+// An Option changes how an endpoint is opened.
+type Option func(*options)
+
+type options struct {
+	socket func(net.PacketConn) net.PacketConn
+}
+
+// WithSocket puts a layer of the caller's own around the UDP socket, such as one
+// that drops packets to show a network partition.
+func WithSocket(wrap func(net.PacketConn) net.PacketConn) Option {
+	return func(o *options) { o.socket = wrap }
+}
+
 // Listen opens an endpoint on a UDP address.
-func Listen(address string, tlsConfig *tls.Config) (*Endpoint, error) {
+func Listen(address string, tlsConfig *tls.Config, choices ...Option) (*Endpoint, error) {
+	chosen := options{socket: func(c net.PacketConn) net.PacketConn { return c }}
+	for _, choose := range choices {
+		choose(&chosen)
+	}
 	local, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("read peer address %q: %w", address, err)
@@ -93,7 +110,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	e := &Endpoint{
-		transport: &quic.Transport{Conn: socket},
+		transport: &quic.Transport{Conn: chosen.socket(socket)},
 		tls:       tlsConfig,
 		quic: &quic.Config{
 			HandshakeIdleTimeout: handshakeTimeout,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -43,6 +43,7 @@
 	log           event.Log
 	configuration entry.Configuration
 	endpoint      *peer.Endpoint
+	peerOptions   []peer.Option
 	registry      *registry.Registry
 	backend       *backend.Client
 	admission     *admitter.Fixed
@@ -82,6 +83,11 @@
 	return func(n *Node) { n.configuration = c }
 }
 
+// WithPeerOptions changes how the endpoint towards other nodes is opened.
+func WithPeerOptions(o ...peer.Option) Option {
+	return func(n *Node) { n.peerOptions = append(n.peerOptions, o...) }
+}
+
 // Start makes a node and begins to serve.
 func Start(s settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bilberryvane/bilberryvane/internal/process/node"
 	"github.com/bilberryvane/bilberryvane/trial/backend"
 	"github.com/bilberryvane/bilberryvane/trial/deployment"
+	"github.com/bilberryvane/bilberryvane/trial/partition"
 )
 
 // A logBuffer collects the log lines of all nodes of a test.
@@ -41,6 +43,9 @@
 	deployment *deployment.Deployment
 	hosts      map[string]*deployment.Running
 	logs       *logBuffer
+	// captured holds every byte that a backend server received.
+	captured *logBuffer
+	network  *partition.Network
 }
 
 func twoServices() deployment.Layout {
@@ -77,13 +82,13 @@
 	is := is.New(t)
 	d, err := deployment.Plan(t.TempDir(), l)
 	is.NoErr(err)
-	f := &fleet{t: t, deployment: d, hosts: map[string]*deployment.Running{}, logs: &logBuffer{}}
+	f := &fleet{t: t, deployment: d, hosts: map[string]*deployment.Running{}, logs: &logBuffer{}, captured: &logBuffer{}, network: partition.New()}
 	for _, h := range d.Hosts {
-		b := backend.Settings{Service: h.Service, Slots: 8, Connections: 50, ServiceTime: time.Millisecond}
+		b := backend.Settings{Service: h.Service, Slots: 8, Connections: 50, ServiceTime: time.Millisecond, Capture: f.captured}
 		if h.Service == "planning" {
 			b.Calls = []string{"/stock/items"}
 		}
-		running, err := d.StartHost(h, b, f.logs)
+		running, err := d.StartHost(h, b, f.logs, node.WithPeerOptions(f.network.Option(h.Peers)))
 		is.NoErr(err)
 		f.hosts[h.Name] = running
 	}
@@ -156,7 +161,36 @@
 		is.Equal(text, body)
 		is.Equal(response.Header.Get("X-Request-Key"), h.Name)
 	}
-	is.True(!strings.Contains(f.logs.String(), secret)) // no log line holds a key
+}
+
+// No backend server, log line, metric or operator page holds a key, in whichever
+// header a caller sends it and however the request ends.
+func TestKeyEndsAtEntry(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, twoServices())
+	secret := f.deployment.Keys["depot-nord"]
+	entry := f.deployment.Hosts[0]
+	for _, headers := range []map[string]string{
+		{"X-Request-Key": "seen"},
+		{"Proxy-Authorization": "Bearer " + secret},
+		{"Cookie": "key=" + secret},
+		{"authorization": "Basic " + secret},
+	} {
+		f.send(entry, http.MethodPost, "/planning/routes", secret, "", headers)
+		f.send(entry, http.MethodPost, "/planning/completions", secret, "", headers)
+		f.send(entry, http.MethodPost, "/lager/x", secret, "", headers)
+	}
+	is.True(strings.Contains(f.captured.String(), "seen")) // the capture works
+	is.True(!strings.Contains(f.captured.String(), secret))
+	is.True(!strings.Contains(f.logs.String(), secret))
+	for _, path := range []string{"/operator/status", "/operator/burn", "/debug/vars"} {
+		response, err := http.Get("http://" + entry.Operators + path)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		response.Body.Close()
+		is.True(!strings.Contains(string(body), secret))
+	}
 }
 
 func TestRefusalsAreTyped(t *testing.T) {
@@ -249,3 +283,25 @@
 	is.True(answered > 0)
 	is.Equal(len(failures), 0)
 }
+
+// A zone that is cut off goes on serving what its own backend servers offer, and
+// so do the others.
+func TestZoneCutOffServesOn(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, twoServices())
+	secret := f.deployment.Keys["depot-nord"]
+	for _, h := range f.deployment.Hosts {
+		if h.Zone == "bayern-2" {
+			f.network.Cut(1, h.Peers)
+		}
+	}
+	for range 40 {
+		for _, h := range f.deployment.Hosts {
+			response, body := f.send(h, http.MethodPost, "/planning/routes", secret, h.Name, nil)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(body, h.Name)
+		}
+	}
+	f.network.Heal()
+	f.waitReady()
+}
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return fmt.Errorf("set up peer authentication: %w", err)
 	}
-	n.endpoint, err = peer.Listen(n.settings.Listen.Peers, tlsConfig)
+	n.endpoint, err = peer.Listen(n.settings.Listen.Peers, tlsConfig, n.peerOptions...)
 	if err != nil {
 		return fmt.Errorf("open peer endpoint: %w", err)
 	}
--- /dev/null
+++ b/internal/request/exchange/exchange_test.go
@@ -0,0 +1,72 @@
+package exchange_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
+	"github.com/bilberryvane/bilberryvane/internal/request/call"
+	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
+	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
+)
+
+func sample() exchange.Request {
+	return exchange.Request{
+		Context: call.Context{RequestID: "r", Account: "nord", Attempts: 3, Remaining: time.Second},
+		Method:  "POST", Path: "/x?y=1", Headers: []exchange.Header{{Name: "A", Value: "b"}}, Body: []byte("body"),
+	}
+}
+
+func TestAnswerSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	sent := exchange.Refused(refusal.New(refusal.Overloaded).WithRetryAfter(time.Second)).WithUnusedAttempts(4)
+	raw, err := cbor.Marshal(sent)
+	is.NoErr(err)
+	var got exchange.Answer
+	is.NoErr(peer.Decoder.Unmarshal(raw, &got))
+	is.True(reflect.DeepEqual(got, sent))
+}
+
+// Whatever another node sends is refused or read to something that is read the
+// same again.
+func FuzzRequest(f *testing.F) {
+	raw, err := cbor.Marshal(sample())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add(raw[:len(raw)/2])
+	f.Add([]byte{0xbf, 0x01, 0xff})
+	f.Add([]byte{0xa2, 0x01, 0xa0, 0x01, 0xa0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var first, second exchange.Request
+		if err := peer.Decoder.Unmarshal(raw, &first); err != nil {
+			return
+		}
+		again, err := cbor.Marshal(first)
+		if err != nil {
+			t.Fatalf("a request that was read can't be written: %v", err)
+		}
+		if err := peer.Decoder.Unmarshal(again, &second); err != nil {
+			t.Fatalf("a request that was written can't be read: %v", err)
+		}
+		if !reflect.DeepEqual(normal(first), normal(second)) {
+			t.Fatalf("read %+v, then %+v", first, second)
+		}
+	})
+}
+
+// normal makes empty and missing lists the same.
+func normal(r exchange.Request) exchange.Request {
+	if len(r.Headers) == 0 {
+		r.Headers = nil
+	}
+	if len(r.Body) == 0 {
+		r.Body = nil
+	}
+	return r
+}
--- a/trial/backend/backend.go
+++ b/trial/backend/backend.go
@@ -49,6 +49,8 @@
 	// Direct holds the addresses of other services, which are then called straight
 	// and again after a failure, as plain clients do.
 	Direct map[string][]string
+	// Capture gets every byte that reaches the server.
+	Capture io.Writer
 	// Runs gets one line of JSON for each request as it begins to run.
 	Runs io.Writer
 	// Crashes lets a request with a poisoned body end the process.
@@ -92,6 +94,9 @@
 		client:   &fasthttp.Client{MaxConnsPerHost: s.Connections, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1},
 	}
 	b.http = &fasthttp.Server{Handler: b.serve, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	if s.Capture != nil {
+		listener = capturing{Listener: listener, to: s.Capture}
+	}
 	go func() { _ = b.http.Serve(listener) }() // Ends with Stop.
 	go b.announceAlways(ctx)
 	return b, nil
