Close connections that no call uses

Cause: connections to nodes that left the routing subset stayed open with their keep-alives; at 14,000 nodes that outgrows the control budget. Ruled out: QUIC's idle timeout without keep-alives, because it would also close connections with slow calls in flight. Change: a connection without messages for a minute is closed; a message counts before its connection is looked up, so none in use is closed.

--- a/internal/connection/peer/endpoint.go
+++ b/internal/connection/peer/endpoint.go
@@ -8,7 +8,9 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +32,9 @@
 	keepAlivePeriod = time.Second
 	// handshakeTimeout bounds the start of a connection.
 	handshakeTimeout = time.Second
+	// idleClose is the time after which an unused connection is closed: it bounds
+	// the connections of a node to those that its present calls need.
+	idleClose = time.Minute
 	// maxStreams bounds the messages in flight from one peer.
 	maxStreams = 4096
 	// callWorkers and controlWorkers bound the messages handled at once. Control
@@ -86,7 +91,8 @@
 type Option func(*options)
 
 type options struct {
-	socket func(net.PacketConn) net.PacketConn
+	socket    func(net.PacketConn) net.PacketConn
+	idleClose time.Duration
 }
 
 // WithSocket puts a layer of the caller's own around the UDP socket, such as one
@@ -95,9 +101,14 @@
 	return func(o *options) { o.socket = wrap }
 }
 
+// WithIdleClose sets the time after which an unused connection is closed.
+func WithIdleClose(after time.Duration) Option {
+	return func(o *options) { o.idleClose = after }
+}
+
 // Listen opens an endpoint on a UDP address.
 func Listen(address string, tlsConfig *tls.Config, choices ...Option) (*Endpoint, error) {
-	chosen := options{socket: func(c net.PacketConn) net.PacketConn { return c }}
+	chosen := options{socket: func(c net.PacketConn) net.PacketConn { return c }, idleClose: idleClose}
 	for _, choose := range choices {
 		choose(&chosen)
 	}
@@ -131,6 +142,7 @@
 		return nil, fmt.Errorf("listen for QUIC: %w", err)
 	}
 	e.accepting.Go(e.accept)
+	e.accepting.Go(func() { e.closeIdle(chosen.idleClose) })
 	return e, nil
 }
 
@@ -177,6 +189,25 @@
 	return nil
 }
 
+// closeIdle looks for unused connections until the endpoint is closed.
+func (e *Endpoint) closeIdle(after time.Duration) {
+	ticker := time.NewTicker(after)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-e.ctx.Done():
+			return
+		}
+		e.mu.RLock()
+		links := slices.Collect(maps.Values(e.links))
+		e.mu.RUnlock()
+		for _, l := range links {
+			l.closeIdle()
+		}
+	}
+}
+
 func (e *Endpoint) handler(k Kind) (Handler, bool) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -31,8 +31,12 @@
 type link struct {
 	address string
 
-	// waiting is the number of messages whose reply is awaited.
+	// waiting is the number of messages that are being sent or whose reply is
+	// awaited. It is raised before the connection is looked up, so that one in
+	// use is never closed as idle.
 	waiting atomic.Int64
+	// used says that a message was sent since the last look for idle connections.
+	used atomic.Bool
 	// probing says that a probe of the connection is under way.
 	probing atomic.Bool
 
@@ -76,17 +80,27 @@
 // watch arranges that the connection is probed if the reply to a message is slow.
 // The function it returns must be called when the reply has come.
 func (l *link) watch(conn *quic.Conn, e *Endpoint) func() {
-	l.waiting.Add(1)
 	timer := time.AfterFunc(probeAfter, func() {
 		if l.probing.CompareAndSwap(false, true) {
 			defer l.probing.Store(false)
 			l.probe(conn, e)
 		}
 	})
-	return func() {
-		timer.Stop()
-		l.waiting.Add(-1)
+	return func() { timer.Stop() }
+}
+
+// closeIdle closes the connection if no message used it since the last look.
+func (l *link) closeIdle() {
+	if l.used.Swap(false) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil || l.waiting.Load() > 0 {
+		return
 	}
+	l.conn.CloseWithError(codeDone, "idle")
+	l.conn = nil
 }
 
 // probe asks the peer for signs of life while replies are awaited, and closes
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 	return &network{t: t, authority: a}
 }
 
-func (n *network) listen(host string, issuer *identity.Authority) *peer.Endpoint {
+func (n *network) listen(host string, issuer *identity.Authority, options ...peer.Option) *peer.Endpoint {
 	n.t.Helper()
 	pair, err := issuer.Issue(identity.Node{Host: host, Zone: "herning-1"}, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now(), time.Hour)
 	if err != nil {
@@ -42,7 +43,7 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	e, err := peer.Listen("127.0.0.1:0", config)
+	e, err := peer.Listen("127.0.0.1:0", config, options...)
 	if err != nil {
 		n.t.Fatal(err)
 	}
@@ -152,6 +153,25 @@
 	is.Equal(string(reply), "a:late")
 }
 
+// Closing idle connections never takes one away from a message.
+func TestIdleCloseLosesNoMessage(t *testing.T) {
+	n := newNetwork(t)
+	a, b := n.listen("a", n.authority, peer.WithIdleClose(time.Millisecond)), n.listen("b", n.authority)
+	b.Handle(kindEcho, echo)
+	var senders sync.WaitGroup
+	for range 4 {
+		senders.Go(func() {
+			for range 50 {
+				if _, err := a.Call(t.Context(), b.Address(), kindEcho, nil); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(3 * time.Millisecond) // Lets connections become idle.
+			}
+		})
+	}
+	senders.Wait()
+}
+
 func TestGarbageIsRefused(t *testing.T) {
 	n := newNetwork(t)
 	b := n.listen("b", n.authority)
--- a/internal/connection/peer/send.go
+++ b/internal/connection/peer/send.go
@@ -18,6 +18,9 @@
 // cancelled. See the errors of this package for what is known after a failure.
 func (e *Endpoint) Call(ctx context.Context, address string, k Kind, body []byte) ([]byte, error) {
 	l := e.link(address)
+	l.waiting.Add(1)
+	defer l.waiting.Add(-1)
+	l.used.Store(true)
 	conn, err := l.open(ctx, e)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
