Run the membership in the node

Nodes found each other by asking every seed twice a second, which grows with the number of nodes and knows neither failures nor restarts.

Package membership runs package member over datagrams on the peer endpoint's socket, sealed by a group key (new setting peers group-key); the directory takes its nodes from it. The node announces itself to the table service once per incarnation; while that is down, seeds suffice.

Distant addresses now take turns. -rapid.checks=1500: passes. TestFailures follows kill, restart with the same address, freeze, drain and leave over loopback with the table down. Seen to fail: TestSubscribe with unauthenticated datagrams.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -1,106 +1,70 @@
-// Package directory tells which nodes offer a service. This one asks the seed
-// addresses in turn; it serves deployments whose nodes all know each other.
+// Package directory tells the parts that deal with requests which nodes offer a
+// service. Package membership finds the nodes.
 package directory
 
 import (
-	"context"
-	"fmt"
 	"sync"
-	"time"
 
-	"github.com/alitto/pond/v2"
-	"github.com/fxamacker/cbor/v2"
-
-	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/forward"
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
+	"github.com/bilberryvane/bilberryvane/member"
 )
 
-// KindHello asks a node who it is and what it offers.
-const KindHello peer.Kind = 10
-
-const (
-	// pollPeriod is the time between two questions to a seed.
-	pollPeriod = 500 * time.Millisecond
-	// pollTimeout bounds one question.
-	pollTimeout = 400 * time.Millisecond
-	// maxPolls bounds the questions under way.
-	maxPolls = 16
-)
-
-// A Node is what a node says of itself.
+// A Node is what is known of a node.
 type Node struct {
-	Host string `cbor:"1,keyasint"`
-	Zone string `cbor:"2,keyasint"`
+	Host string
+	Zone string
 	// Address is the node's peer address.
-	Address string `cbor:"3,keyasint"`
+	Address string
 	// Service is the service that it offers; empty for none.
-	Service string `cbor:"4,keyasint,omitempty"`
+	Service string
 	// Leaving says that it takes no new work.
-	Leaving bool `cbor:"5,keyasint,omitempty"`
+	Leaving bool
+	// Incarnation is greater after each start of the node.
+	Incarnation uint64
+}
+
+// A Source knows the nodes that are up.
+type Source interface {
+	// All returns every node known, the own one included.
+	All() []member.Entry
+	// Nodes returns the nodes that take new work of a service.
+	Nodes(service string) []member.Node
+	// Offer changes what the own node offers; an empty service is none.
+	Offer(service string, draining bool)
 }
 
-// A Directory holds the nodes that answered last. It is safe for concurrent use.
+// A Directory holds the nodes that are up. It is safe for concurrent use.
 type Directory struct {
-	endpoint *peer.Endpoint
-	seeds    []string
+	source Source
+	host   string
+	zone   string
 
-	// mu guards own, nodes and next.
-	mu    sync.RWMutex
-	own   Node
-	nodes map[string]Node
-	next  int
+	// mu guards next.
+	mu   sync.Mutex
+	next int
 }
 
-// New returns a Directory for a node and registers its handler.
-func New(e *peer.Endpoint, own Node, seeds []string) *Directory {
-	d := &Directory{endpoint: e, own: own, seeds: seeds, nodes: map[string]Node{}}
-	e.Handle(KindHello, d.hello)
-	return d
+// New returns the Directory of a node.
+func New(host, zone string, s Source) *Directory {
+	return &Directory{source: s, host: host, zone: zone}
 }
 
 // Offer changes what the own node offers.
-func (d *Directory) Offer(service string, leaving bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.own.Service = service
-	d.own.Leaving = leaving
-}
-
-// Run asks the seeds until the context ends.
-func (d *Directory) Run(ctx context.Context) {
-	pool := pond.NewPool(maxPolls, pond.WithContext(ctx))
-	defer pool.StopAndWait()
-	ticker := time.NewTicker(pollPeriod)
-	defer ticker.Stop()
-	for {
-		group := pool.NewGroup()
-		for _, seed := range d.seeds {
-			group.Submit(func() { d.poll(ctx, seed) })
-		}
-		if err := group.Wait(); err != nil {
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
+func (d *Directory) Offer(service string, leaving bool) { d.source.Offer(service, leaving) }
 
 // Pick returns a node that offers the call's service, in turn, own zone first.
 func (d *Directory) Pick(c call.Context, excluded []string) (forward.Target, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var near, far []Node
-	for _, n := range d.candidates(c.Service, excluded) {
-		if n.Zone == d.own.Zone {
+	var near, far []member.Node
+	for _, n := range d.source.Nodes(c.Service) {
+		switch {
+		case contains(excluded, n.Host):
+		case n.Zone == d.zone:
 			near = append(near, n)
-			continue
+		default:
+			far = append(far, n)
 		}
-		far = append(far, n)
 	}
 	if len(near) == 0 {
 		near = far
@@ -108,85 +72,33 @@
 	if len(near) == 0 {
 		return forward.Target{}, refusal.New(refusal.NoBackendServer)
 	}
+	d.mu.Lock()
 	d.next++
 	n := near[d.next%len(near)]
-	if n.Host == d.own.Host {
+	d.mu.Unlock()
+	if n.Host == d.host {
 		return forward.Target{Host: n.Host}, nil
 	}
 	return forward.Target{Host: n.Host, Address: n.Address}, nil
 }
 
-// Observe ignores how tries end; leaving and lost nodes are found by polling.
+// Observe ignores how tries end.
 func (d *Directory) Observe(forward.Target, call.Context, forward.Observation) {}
 
 // Nodes returns all nodes known, the own one included.
 func (d *Directory) Nodes() []Node {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	nodes := []Node{d.own}
-	for _, n := range d.nodes {
-		nodes = append(nodes, n)
-	}
-	return nodes
-}
-
-// candidates returns the nodes that offer a service; mu must be held.
-func (d *Directory) candidates(service string, excluded []string) []Node {
-	var found []Node
-	for _, n := range append(d.sorted(), d.own) {
-		if n.Service == service && !n.Leaving && !contains(excluded, n.Host) {
-			found = append(found, n)
-		}
-	}
-	return found
-}
-
-// sorted returns the other nodes in the order of the seeds; mu must be held.
-func (d *Directory) sorted() []Node {
-	nodes := make([]Node, 0, len(d.nodes))
-	for _, seed := range d.seeds {
-		if n, ok := d.nodes[seed]; ok {
-			nodes = append(nodes, n)
+	entries := d.source.All()
+	nodes := make([]Node, 0, len(entries))
+	for _, e := range entries {
+		n := Node{Host: e.Host, Zone: e.Zone, Address: e.Address, Leaving: e.Draining, Incarnation: e.Incarnation}
+		if len(e.Services) > 0 {
+			n.Service = e.Services[0]
 		}
+		nodes = append(nodes, n)
 	}
 	return nodes
 }
 
-func (d *Directory) poll(ctx context.Context, seed string) {
-	limited, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	n, err := d.ask(limited, seed)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err != nil || n.Host == d.own.Host {
-		delete(d.nodes, seed)
-		return
-	}
-	d.nodes[seed] = n
-}
-
-func (d *Directory) ask(ctx context.Context, seed string) (Node, error) {
-	body, err := d.endpoint.Call(ctx, seed, KindHello, nil)
-	if err != nil {
-		return Node{}, fmt.Errorf("ask %s: %w", seed, err)
-	}
-	var n Node
-	if err := peer.Decoder.Unmarshal(body, &n); err != nil {
-		return Node{}, fmt.Errorf("read answer of %s: %w", seed, err)
-	}
-	return n, nil
-}
-
-func (d *Directory) hello(context.Context, peer.Identity, []byte) ([]byte, error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	body, err := cbor.Marshal(d.own)
-	if err != nil {
-		return nil, fmt.Errorf("encode node: %w", err)
-	}
-	return body, nil
-}
-
 func contains(hosts []string, host string) bool {
 	for _, h := range hosts {
 		if h == host {
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -11,3 +11,20 @@
 	WorkerPanic    = define(1004, "worker-panic", log.ErrorLevel, "A task ended by a panic; the request was answered with outcome unknown.")
 	RequestRefused = define(2000, "request-refused", log.InfoLevel, "A request was refused; reason, class and outcome are given.")
 )
+
+// Events of the membership: 1100 to 1199.
+var (
+	PeerJoined      = define(1100, "peer-joined", log.InfoLevel, "Another node of the zone is up.")
+	PeerSuspected   = define(1101, "peer-suspected", log.InfoLevel, "Another node of the zone did not answer; it may still refute that it is down.")
+	PeerLost        = define(1102, "peer-lost", log.WarnLevel, "Another node of the zone is held to be down.")
+	PeerLeft        = define(1103, "peer-left", log.InfoLevel, "Another node of the zone announced its end.")
+	PeerRestarted   = define(1104, "peer-restarted", log.InfoLevel, "Another node of the zone came back as a new process.")
+	PeerDraining    = define(1105, "peer-draining", log.InfoLevel, "Another node of the zone takes no new work.")
+	ProcessFrozen   = define(1106, "process-frozen", log.WarnLevel, "The process stood still for the given time; its running timeouts start again.")
+	ZoneUnreachable = define(1107, "zone-unreachable", log.WarnLevel, "No heartbeat of another availability zone arrived for a minute.")
+	ZoneReachable   = define(1108, "zone-reachable", log.InfoLevel, "Heartbeats of another availability zone arrive again.")
+	NodeAnnounced   = define(1109, "node-announced", log.InfoLevel, "The table service holds the node's present incarnation.")
+	AnnounceFailed  = define(1110, "announce-failed", log.WarnLevel, "The node could not announce itself to the table service and will try again.")
+	MessageRejected = define(1111, "membership-message-rejected", log.WarnLevel, "A membership message was malformed or not authentic.")
+	MembershipEnded = define(1112, "membership-ended", log.ErrorLevel, "The node receives no membership messages any more.")
+)
--- /dev/null
+++ b/internal/process/membership/view.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"github.com/bilberryvane/bilberryvane/member"
+)
+
+// Nodes returns the nodes that take new work of a service, those of the own zone
+// first.
+func (m *Membership) Nodes(service string) []member.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group.Nodes(service, m.clock.Now())
+}
+
+// Alive reports whether a host is held to run. Of other zones only the hosts that
+// summaries name are known.
+func (m *Membership) Alive(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, alive := m.group.Find(host, m.clock.Now())
+	return alive
+}
+
+// Find returns a host that is held to run.
+func (m *Membership) Find(host string) (member.Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group.Find(host, m.clock.Now())
+}
+
+// All returns every node known: the present members of the own zone, and of other
+// zones those that summaries name.
+func (m *Membership) All() []member.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group.Entries(m.clock.Now())
+}
+
+// Zones returns what is known of the other zones.
+func (m *Membership) Zones() []member.ZoneView {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group.Zones(m.clock.Now())
+}
+
+// Self returns the node's own statement.
+func (m *Membership) Self() member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group.Self()
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
@@ -47,6 +48,7 @@
 	registry      *registry.Registry
 	backend       *backend.Client
 	admission     *admitter.Fixed
+	membership    *membership.Membership
 	directory     *directory.Directory
 	refusals      *refusals.Log
 	metrics       *metrics.Metrics
@@ -107,6 +109,10 @@
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
+	if err := n.join(); err != nil {
+		_ = n.endpoint.Close() // The first error is returned.
+		return nil, err
+	}
 	if err := n.listen(n.wire()); err != nil {
 		_ = n.endpoint.Close() // The first error is returned.
 		return nil, err
@@ -120,7 +126,7 @@
 
 // run starts the node's background tasks.
 func (n *Node) run(ctx context.Context) {
-	n.tasks.Go(func() { n.directory.Run(ctx) })
+	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
 }
 
@@ -155,6 +161,7 @@
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
+	n.membership.Leave()
 	n.cancel()
 	n.tasks.Wait()
 	if err := n.local.Shutdown(ctx); err != nil {
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -12,8 +12,11 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/identity"
 	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
+	"github.com/bilberryvane/bilberryvane/internal/connection/seal"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/entry"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
@@ -48,14 +51,40 @@
 	return nil
 }
 
-// wire makes the parts that deal with requests and returns the entry to them.
-func (n *Node) wire() *entry.Entry {
-	own := directory.Node{
+// join makes the node's part in the membership.
+func (n *Node) join() error {
+	content, err := os.ReadFile(n.settings.Peers.GroupKey)
+	if err != nil {
+		return fmt.Errorf("%w: read group key: %w", ErrNoPeers, err)
+	}
+	groupKeys, err := seal.Parse(content)
+	if err != nil {
+		return fmt.Errorf("set up membership: %w", err)
+	}
+	p := n.settings.Platform
+	endpoint := platform.Endpoint{
+		TableURL: p.TableEndpoint, ObjectsURL: p.ObjectEndpoint, Region: p.Region,
+		AccessKey: p.AccessKey, SecretKey: p.SecretKey, TableName: p.Table, Bucket: p.Bucket,
+	}
+	self := membership.Self{
 		Host:    n.settings.Host.Name,
 		Zone:    n.settings.Host.Zone,
 		Address: n.endpoint.Address(),
 	}
-	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
+	n.membership = membership.New(self, membership.Parts{
+		Transport: n.endpoint,
+		Keys:      groupKeys,
+		Table:     platform.NewTable(endpoint, platform.WithTimeout(p.Timeout)),
+		Clock:     n.clock,
+		Log:       n.log,
+		Seeds:     n.settings.Peers.Seeds,
+	})
+	return nil
+}
+
+// wire makes the parts that deal with requests and returns the entry to them.
+func (n *Node) wire() *entry.Entry {
+	n.directory = directory.New(n.settings.Host.Name, n.settings.Host.Zone, n.membership)
 	executor := execute.New(n.settings.Host.Name, keys{n.configuration}, n.admission, noQuarantine{},
 		n.backend, n.registry, n.clock)
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
--- a/internal/process/settings/options.go
+++ b/internal/process/settings/options.go
@@ -99,6 +99,11 @@
 		section: "peers", key: "private-key", required: true, about: "The file with the node's private key.",
 		read: func(r *Settings, s *document.Section, k string) { r.Peers.PrivateKey = s.Text(k, "") },
 	},
+	{
+		section: "peers", key: "group-key", required: true,
+		about: "The file with the keys that authenticate membership messages: 64 hexadecimal digits a line, the first one seals.",
+		read:  func(r *Settings, s *document.Section, k string) { r.Peers.GroupKey = s.Text(k, "") },
+	},
 	{
 		section: "limits", key: "header-bytes", standard: "16384", about: "The largest size of a request's headers.",
 		read: func(r *Settings, s *document.Section, k string) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -72,6 +72,8 @@
 	Certificate string
 	// PrivateKey is the file with the node's private key.
 	PrivateKey string
+	// GroupKey is the file with the key that authenticates membership messages.
+	GroupKey string
 }
 
 // Limits bound what the node takes.
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -31,6 +31,7 @@
 authority = a.pem
 certificate = c.pem
 private-key = c.key
+group-key = g.key
 `
 
 func TestParseReadsWholeSettings(t *testing.T) {
@@ -59,11 +60,11 @@
 				`node.ini:1: section "host" lacks the key "zone"`,
 				`node.ini:6: key "peers": "example:8081" does not start with an IP address`,
 				`node.ini:7: key "backend-server": "10.0.0.1:8082" is not a loopback address`,
-				`node.ini:20: key "drain": "soon" is not a duration`,
-				`node.ini:21: unknown section "cache"`,
+				`node.ini:21: key "drain": "soon" is not a duration`,
+				`node.ini:22: unknown section "cache"`,
 			},
 		},
-		{name: "twice", text: whole + "[host]\nname = b\nzone = c\n", want: []string{`node.ini:19: section "host" stands twice`}},
+		{name: "twice", text: whole + "[host]\nname = b\nzone = c\n", want: []string{`node.ini:20: section "host" stands twice`}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/member/compare.go
+++ b/member/compare.go
@@ -15,12 +15,11 @@
 	// that means a node that joins or a healed partition, where every node
 	// compares by itself.
 	spreadLimit = 16
-	// distantEvery is after how many comparisons within the zone, at the least,
-	// one goes to a distant address, so that a healed partition is found.
-	distantEvery = 2
-	// distantPerPeriod is about how many comparisons of all members together go
-	// to distant addresses in one period, so that these are not overrun.
+	// distantPerPeriod is about how many members of a zone turn to distant
+	// addresses in one period, so that these are not overrun, and distantDigests
+	// how many digests each of them sends.
 	distantPerPeriod = 8
+	distantDigests   = 2
 	// loneDigests is how many digests a node that holds nobody present sends.
 	loneDigests = 8
 )
@@ -41,14 +40,11 @@
 	g.timers.sync = now.Add(period/2 + g.jitter(period))
 	distant := g.distant()
 	if len(g.roster.order) == 0 {
-		for _, address := range distant[:min(len(distant), loneDigests)] {
-			g.sendDigest(address)
-		}
+		g.sendDistant(distant, loneDigests)
 		return
 	}
-	if g.joined && len(distant) > 0 && g.random.Intn(max(distantEvery, len(g.roster.order)/distantPerPeriod)) == 0 {
-		g.sendDigest(distant[g.random.Intn(len(distant))])
-		return
+	if g.joined && len(distant) > 0 && g.random.Intn(max(1, len(g.roster.order)/distantPerPeriod)) == 0 {
+		g.sendDistant(distant, distantDigests)
 	}
 	g.sendDigest(g.roster.sample(1, g.random, "")[0].member.Address)
 }
@@ -66,12 +62,17 @@
 	if len(addresses) == 0 || len(g.roster.order) == 0 {
 		addresses = append(addresses, g.seeds...)
 	}
-	g.random.Shuffle(len(addresses), func(i, j int) {
-		addresses[i], addresses[j] = addresses[j], addresses[i]
-	})
 	return addresses
 }
 
+// sendDistant sends digests to some of the addresses, each in its turn.
+func (g *Group) sendDistant(addresses []string, count int) {
+	for range min(count, len(addresses)) {
+		g.timers.distant++
+		g.sendDigest(addresses[g.timers.distant%len(addresses)])
+	}
+}
+
 // sendDigest sends the digest of all that this node holds.
 func (g *Group) sendDigest(address string) {
 	m := g.message(Digest)
--- a/member/directory.go
+++ b/member/directory.go
@@ -41,6 +41,58 @@
 	return sure
 }
 
+// An Entry is a node with what it offers.
+type Entry struct {
+	Node
+	// Services are those that the host offers; of a host of another zone those
+	// whose summaries name it.
+	Services []string
+	// Draining says that the host takes no new work.
+	Draining bool
+}
+
+// Entries returns the present members of the own zone, this node included, and the
+// nodes that the summaries of reachable zones name, in the order of zones and hosts.
+func (g *Group) Entries(now time.Time) []Entry {
+	var entries []Entry
+	for _, m := range g.Members() {
+		n := Node{Host: m.Host, Zone: g.zone, Address: m.Address, Incarnation: m.Incarnation}
+		entries = append(entries, Entry{Node: n, Services: m.Services, Draining: m.Draining})
+	}
+	for _, name := range g.zones.names {
+		if s := g.zones.states[name]; g.reachable(s, now) {
+			entries = append(entries, s.entries()...)
+		}
+	}
+	return entries
+}
+
+// entries returns the nodes that the zone's summaries and bridges name.
+func (s *zoneState) entries() []Entry {
+	found := make(map[string]Entry)
+	add := func(c Contact, services ...string) {
+		e, ok := found[c.Host]
+		if !ok || c.Incarnation > e.Incarnation {
+			e.Node = Node{Host: c.Host, Zone: s.name, Address: c.Address, Incarnation: c.Incarnation}
+		}
+		e.Services = append(e.Services, services...)
+		found[c.Host] = e
+	}
+	for _, c := range s.bridges {
+		add(c)
+	}
+	for _, service := range sortedKeys(s.services) {
+		for _, c := range s.services[service].Nodes {
+			add(c, service)
+		}
+	}
+	entries := make([]Entry, 0, len(found))
+	for _, host := range sortedKeys(found) {
+		entries = append(entries, found[host])
+	}
+	return entries
+}
+
 // Lookup returns what is held of a host of the own zone.
 func (g *Group) Lookup(host string) (Member, bool) {
 	rec, ok := g.roster.records[host]
--- a/member/group.go
+++ b/member/group.go
@@ -79,6 +79,8 @@
 	sync      time.Time
 	abroad    time.Time
 	heartbeat time.Time
+	// distant counts the digests sent to distant addresses.
+	distant int
 }
 
 // New returns the group of a node that starts at now. self.Incarnation must be
@@ -303,6 +305,16 @@
 	return true
 }
 
+// Surpass raises the node's incarnation above one that the host had before.
+func (g *Group) Surpass(incarnation uint64, now time.Time) Output {
+	if incarnation >= g.self.Incarnation {
+		next := g.self.WithRevision(0)
+		next.Incarnation = incarnation + 1
+		g.revise(next, now)
+	}
+	return g.take()
+}
+
 // revise replaces the node's own statement and spreads it.
 func (g *Group) revise(next Member, now time.Time) {
 	before := g.self
@@ -313,9 +325,13 @@
 	g.out.Revised = true
 }
 
-// SetServices changes the services that the host offers.
+// SetServices changes the services that the host offers and ends a drain; the same
+// ones again change nothing.
 func (g *Group) SetServices(services []string, now time.Time) Output {
-	next := g.self.WithServices(services).WithRevision(g.self.Revision + 1)
+	next := g.self.WithServices(services).WithDraining(false).WithRevision(g.self.Revision + 1)
+	if sameServices(g.self, next) && !g.self.Draining || g.self.Status == Left {
+		return g.take()
+	}
 	g.revise(next, now)
 	return g.take()
 }
@@ -327,7 +343,7 @@
 	if g.self.Draining {
 		return g.take()
 	}
-	g.revise(g.self.WithDraining().WithRevision(g.self.Revision+1), now)
+	g.revise(g.self.WithDraining(true).WithRevision(g.self.Revision+1), now)
 	if g.joined {
 		services := slices.Clone(g.self.Services)
 		sort.Strings(services)
--- a/member/group_test.go
+++ b/member/group_test.go
@@ -13,9 +13,9 @@
 	"github.com/bilberryvane/bilberryvane/trial/gossip"
 )
 
-// agreementBound is within which all views agree after the last fault: the
-// detection, and comparisons with a seed or a member held dead, which every node
-// makes about every fourth sync period.
+// agreementBound is within which all views agree after the last fault: a few sync
+// periods, in each of which a node of a small zone compares with one member and
+// with two that it holds dead.
 const agreementBound = 4 * time.Minute
 
 // summaryNodes is how many nodes a summary names.
--- a/member/member.go
+++ b/member/member.go
@@ -77,9 +77,9 @@
 	return m
 }
 
-// WithDraining returns a copy that takes no new work.
-func (m Member) WithDraining() Member {
-	m.Draining = true
+// WithDraining returns a copy that takes new work or does not.
+func (m Member) WithDraining(draining bool) Member {
+	m.Draining = draining
 	return m
 }
 
--- a/trial/deployment/deployment.go
+++ b/trial/deployment/deployment.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/bilberryvane/bilberryvane/internal/connection/identity"
+	"github.com/bilberryvane/bilberryvane/internal/connection/seal"
 	"github.com/bilberryvane/bilberryvane/internal/version/key"
 )
 
@@ -104,6 +105,13 @@
 	if err := d.write("authority.pem", authority.PEM().Certificate); err != nil {
 		return nil, err
 	}
+	groupKey, err := seal.NewKey()
+	if err != nil {
+		return nil, fmt.Errorf("make group key: %w", err)
+	}
+	if err := d.write("group.key", groupKey); err != nil {
+		return nil, err
+	}
 	d.planHosts()
 	for _, h := range d.Hosts {
 		if err := d.writeHost(h, authority); err != nil {
@@ -192,6 +200,7 @@
 		"access-key = trial", "secret-key = trial",
 		"[peers]", "seeds = " + strings.Join(seeds, ", "), "authority = " + file("authority.pem"),
 		"certificate = " + file(h.Name+".pem"), "private-key = " + file(h.Name+".key"),
+		"group-key = " + file("group.key"),
 		d.Layout.Extra,
 	}
 	return strings.Join(lines, "\n") + "\n"
