Take the configuration from the platform and peers in the node

The node follows the platform's head in place of a file of its own; the daemon's flag for one is gone, since hosts with differing files can't be told apart. A key is looked at when a request comes in, when it begins to wait at the executing node and when it is handed over; a withdrawal ends waits at once. A node that is behind the entry node takes its word for a key that is new, and asks for the version. A node that is cut off trusts its keys up to the setting keys/bound.

Shown to fail: with a Guard that ends no waits TestWithdrawnKeyStopsForConnectedAndQueuedCallers is red, since the queued requests end only when the slot is free; with drawn peers TestChangeIsInForceWithinThreeSeconds is red.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -14,7 +14,6 @@
 
 	"github.com/bilberryvane/bilberryvane/internal/process/node"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
-	"github.com/bilberryvane/bilberryvane/internal/version/configuration"
 	"github.com/bilberryvane/bilberryvane/internal/version/document"
 )
 
@@ -26,9 +25,8 @@
 
 // Arguments are the command line of the daemon.
 type Arguments struct {
-	Settings      string `arg:"positional,required" help:"file with the node's settings"`
-	Configuration string `arg:"--configuration" help:"file with a configuration to start from"`
-	Check         bool   `arg:"--check" help:"check the settings and exit"`
+	Settings string `arg:"positional,required" help:"file with the node's settings"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
 // Description tells what the command does.
@@ -43,11 +41,7 @@
 		return err
 	}
 	logger := &log.Logger{Handler: json.New(logs), Level: log.InfoLevel}
-	source, err := startConfiguration(a.Configuration)
-	if err != nil {
-		return err
-	}
-	n, err := node.Start(read, node.WithLogger(logger), node.WithConfiguration(source))
+	n, err := node.Start(read, node.WithLogger(logger))
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
@@ -80,21 +74,3 @@
 	}
 	return read, nil
 }
-
-// fixed is a configuration that does not change.
-type fixed struct{ snapshot configuration.Snapshot }
-
-// Current returns the configuration.
-func (f fixed) Current() (configuration.Snapshot, bool) { return f.snapshot, true }
-
-func startConfiguration(file string) (fixed, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return fixed{}, fmt.Errorf("read configuration: %w", err)
-	}
-	snapshot, err := configuration.Parse(file, content)
-	if err != nil {
-		return fixed{}, fmt.Errorf("check configuration: %w", err)
-	}
-	return fixed{snapshot: snapshot.WithVersion(1)}, nil
-}
--- a/internal/process/distribution/follower.go
+++ b/internal/process/distribution/follower.go
@@ -28,6 +28,8 @@
 	storeTimeout = 4 * time.Second
 	// tickInterval is how often the tracker is asked what is due.
 	tickInterval = 50 * time.Millisecond
+	// ticksPerRefresh is how many ticks pass between two looks at who lives.
+	ticksPerRefresh = 10
 	// topic and topicKey name the rumour of the version.
 	topic    = "configuration"
 	topicKey = "version"
@@ -79,7 +81,6 @@
 	clock     clock.Clock
 	log       event.Log
 	keyBound  time.Duration
-	watchers  []func(configuration.Snapshot)
 	offers    *offers
 
 	// held is the version in force; readers load it without a lock.
@@ -88,9 +89,10 @@
 	// confirmed is the tracker's, for reading without a lock; nil if there is none.
 	confirmed atomic.Pointer[time.Time]
 
-	// mu guards tracker and the order in which versions are put in force.
-	mu      sync.Mutex
-	tracker *Tracker
+	// mu guards the fields below and the order in which versions come into force.
+	mu       sync.Mutex
+	tracker  *Tracker
+	watchers []func(configuration.Snapshot)
 }
 
 // An Option changes how a Follower behaves.
@@ -100,13 +102,6 @@
 // held is still that of the platform; 0 stands for no bound.
 func WithKeyBound(bound time.Duration) Option { return func(f *Follower) { f.keyBound = bound } }
 
-// WithWatcher adds a function that is told of each version put in force, in
-// order, before Snapshot returns to the caller that brought it. It must be quick
-// and must not call the Follower.
-func WithWatcher(watch func(configuration.Snapshot)) Option {
-	return func(f *Follower) { f.watchers = append(f.watchers, watch) }
-}
-
 // Parts are what a Follower works with.
 type Parts struct {
 	Source    Source
@@ -146,6 +141,20 @@
 // until one has come, and never goes down.
 func (f *Follower) Snapshot() configuration.Snapshot { return f.held.Load().snapshot }
 
+// Watch adds a function that is told of each version put in force, in order. It
+// must be quick and must not wait for the Follower. It is added before Run.
+func (f *Follower) Watch(watch func(configuration.Snapshot)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchers = append(f.watchers, watch)
+}
+
+// Current returns the configuration in force on this node and whether there is one.
+func (f *Follower) Current() (configuration.Snapshot, bool) {
+	s := f.Snapshot()
+	return s, s.Version() > 0
+}
+
 // KeysUsable reports whether keys may be accepted: a node that has been cut off
 // for longer than its bound can't know which keys were withdrawn since.
 func (f *Follower) KeysUsable() bool {
@@ -203,7 +212,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
+		if tick%ticksPerRefresh == 0 {
+			f.refreshPeers()
+		}
 		f.step(ctx)
 		select {
 		case <-ctx.Done():
@@ -213,11 +225,18 @@
 	}
 }
 
+// refreshPeers takes over which nodes live.
+func (f *Follower) refreshPeers() {
+	peers := f.directory.Peers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.SetPeers(peers)
+}
+
 // step does what is due now.
 func (f *Follower) step(ctx context.Context) {
-	peers := f.directory.Peers()
 	f.mu.Lock()
-	actions := f.tracker.Tick(f.clock.Now(), peers)
+	actions := f.tracker.Tick(f.clock.Now())
 	f.mu.Unlock()
 	f.perform(ctx, actions)
 }
@@ -382,7 +401,7 @@
 	offer := Offer{Head: held.head}
 	now := f.clock.Now()
 	f.mu.Lock()
-	f.tracker.Heard(now, ask.Have, addressed(from))
+	f.tracker.Asked(now, from, ask.Have)
 	if at, ok := f.tracker.Confirmed(); ok && f.tracker.Held().Version == held.head.Version {
 		offer.Confirmed = true
 		offer.Age = max(0, now.Sub(at))
--- a/internal/process/distribution/tracker.go
+++ b/internal/process/distribution/tracker.go
@@ -1,7 +1,9 @@
 package distribution
 
 import (
+	"cmp"
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,8 +32,14 @@
 	// StartPatience bounds how long a starting node looks for a newer version
 	// than it was offered.
 	StartPatience = 2 * time.Second
-	// NoticeFanout is the number of peers told at once of a newer version.
-	NoticeFanout = 3
+	// Partners is the number of peers that a node exchanges versions with. They
+	// stay the same while the membership does, so that few connections serve.
+	Partners = 4
+	// farPartners is how many of them are in other zones, if there are any.
+	farPartners = 1
+	// maxAskers bounds the peers that are told of a version because they asked
+	// lately; together with the partners they connect all nodes.
+	maxAskers = 8
 )
 
 // A Peer is another node as the membership knows it.
@@ -111,8 +119,14 @@
 	offered map[string]struct{}
 	// source is a peer that is known to hold something newer.
 	source *Peer
-	// peers are the live nodes as of the last Tick, without this one.
-	peers []Peer
+	// peers are the live nodes without this one, partners the ones to exchange
+	// versions with, next the place of the one to ask.
+	peers    []Peer
+	partners []Peer
+	next     int
+	poller   bool
+	// askers are the peers that asked last, the latest at the end.
+	askers []Peer
 }
 
 // NewTracker returns a tracker that holds nothing.
@@ -130,10 +144,46 @@
 // the one held was published before it, and whether there is such a time.
 func (t *Tracker) Confirmed() (time.Time, bool) { return t.confirmed, !t.confirmed.IsZero() }
 
-// Tick returns what is due at a time. Peers are the live nodes of the zone and
-// some of others.
-func (t *Tracker) Tick(now time.Time, peers []Peer) []Action {
+// SetPeers tells which other nodes live: all of the zone and some of others.
+func (t *Tracker) SetPeers(peers []Peer) {
 	t.peers = peers
+	t.poller = IsPoller(t.self, peers)
+	near := func(p Peer) bool { return p.Zone == t.self.Zone }
+	far := t.nearest(Partners, func(p Peer) bool { return !near(p) })
+	t.partners = t.nearest(Partners-min(farPartners, len(far)), near)
+	t.partners = append(t.partners, far[:min(len(far), Partners-len(t.partners))]...)
+	t.askers = slices.DeleteFunc(t.askers, func(a Peer) bool {
+		return !slices.ContainsFunc(peers, func(p Peer) bool { return p.Host == a.Host })
+	})
+}
+
+// nearest returns the peers of one kind that come first in this node's own order
+// of them, which is the order of hashes over both names.
+func (t *Tracker) nearest(count int, kind func(Peer) bool) []Peer {
+	type ranked struct {
+		peer Peer
+		hash uint64
+	}
+	var first []ranked
+	for _, p := range t.peers {
+		if !kind(p) {
+			continue
+		}
+		r := ranked{peer: p, hash: xxhash.Sum64String(t.self.Host + " " + p.Host)}
+		at, _ := slices.BinarySearchFunc(first, r, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+		if at < count {
+			first = slices.Insert(first, at, r)[:min(len(first)+1, count)]
+		}
+	}
+	found := make([]Peer, 0, len(first))
+	for _, r := range first {
+		found = append(found, r.peer)
+	}
+	return found
+}
+
+// Tick returns what is due at a time.
+func (t *Tracker) Tick(now time.Time) []Action {
 	var actions []Action
 	if a, ok := t.ask(now); ok {
 		actions = append(actions, a)
@@ -141,7 +191,7 @@
 	if t.reading || t.fetching || now.Before(t.nextRead) {
 		return actions
 	}
-	if !IsPoller(t.self, peers) && !t.needsStore(now) {
+	if !t.poller && !t.needsStore(now) {
 		return actions
 	}
 	t.reading = true
@@ -182,7 +232,17 @@
 		t.source = nil
 		return AskPeer{Peer: peer, Have: t.held.Version}, true
 	}
-	return AskPeer{Peer: t.peers[t.random.Intn(len(t.peers))], Have: t.held.Version}, true
+	return AskPeer{Peer: t.pick(), Have: t.held.Version}, true
+}
+
+// pick returns the partners in turn, and any peer once they have not brought
+// what is wanted.
+func (t *Tracker) pick() Peer {
+	if t.asks > len(t.partners) && !t.current() {
+		return t.peers[t.random.Intn(len(t.peers))]
+	}
+	t.next++
+	return t.partners[t.next%len(t.partners)]
 }
 
 // HeadRead reports the head that was read from the platform by a read that began
@@ -281,7 +341,21 @@
 	}
 }
 
-// install moves to a newer version and tells some peers of it.
+// Asked reports that a peer asked for what is newer than a version. The peer is
+// told of newer versions from then on, as long as it is among the last to ask.
+func (t *Tracker) Asked(now time.Time, from Peer, have uint64) {
+	if from.Address == "" {
+		return
+	}
+	t.askers = slices.DeleteFunc(t.askers, func(a Peer) bool { return a.Host == from.Host })
+	t.askers = append(t.askers, from)
+	if len(t.askers) > maxAskers {
+		t.askers = t.askers[1:]
+	}
+	t.Heard(now, have, &from)
+}
+
+// install moves to a newer version and tells partners and askers of it.
 func (t *Tracker) install(h Head) []Action {
 	if h.Version <= t.held.Version {
 		return nil
@@ -291,8 +365,13 @@
 	t.asks = 0
 	t.storeWait = 0
 	actions := []Action{Install{Head: h}}
-	for _, i := range t.random.Perm(len(t.peers))[:min(NoticeFanout, len(t.peers))] {
-		actions = append(actions, NotifyPeer{Peer: t.peers[i], Version: h.Version})
+	for _, p := range t.partners {
+		actions = append(actions, NotifyPeer{Peer: p, Version: h.Version})
+	}
+	for _, p := range t.askers {
+		if !slices.Contains(t.partners, p) {
+			actions = append(actions, NotifyPeer{Peer: p, Version: h.Version})
+		}
 	}
 	return actions
 }
--- a/internal/process/distribution/tracker_test.go
+++ b/internal/process/distribution/tracker_test.go
@@ -63,6 +63,7 @@
 	m := f.members[i]
 	m.life++
 	m.tracker = distribution.NewTracker(m.self, rand.New(rand.NewSource(f.random.Int63())))
+	m.tracker.SetPeers(f.peers(m))
 }
 
 func (f *fleet) run(length time.Duration) {
@@ -77,7 +78,7 @@
 			d.run()
 		}
 		for _, m := range f.members {
-			f.perform(m, m.tracker.Tick(f.now, f.peers(m)))
+			f.perform(m, m.tracker.Tick(f.now))
 		}
 	}
 }
@@ -136,7 +137,7 @@
 		offer.Confirmed, offer.Age = true, f.now.Sub(at)
 	}
 	if answered {
-		to.tracker.Heard(f.now, a.Have, &m.self)
+		to.tracker.Asked(f.now, m.self, a.Have)
 	}
 	f.later(m, func() {
 		f.installs(m, func() []distribution.Action {
@@ -223,7 +224,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := distribution.NewTracker(distribution.Peer{Host: "self"}, rand.New(rand.NewSource(1)))
-			tracker.Tick(now, peers)
+			tracker.SetPeers(peers)
 			for _, a := range answers {
 				tracker.PeerAnswered(now.Add(a.after), now, peers[a.peer], a.offer, true, true)
 				is.New(t).Equal(tracker.Held().Version, a.held)
@@ -251,3 +252,28 @@
 		}
 	}
 }
+
+// With messages lost now and then, a change is in force on every node within
+// three seconds of its acceptance.
+func TestChangeIsInForceWithinThreeSeconds(t *testing.T) {
+	f := newFleet(t, 7, 3, 30)
+	f.loss = 0.1
+	f.run(5 * time.Second)
+	slowest := time.Duration(0)
+	for range 20 {
+		f.head++
+		accepted := f.now
+		for !f.holds(f.head) {
+			f.run(step)
+		}
+		slowest = max(slowest, f.now.Sub(accepted))
+		f.run(time.Duration(f.random.Intn(1000)) * time.Millisecond)
+	}
+	t.Logf("the slowest of 20 changes took %s to reach %d nodes", slowest, len(f.members))
+	is.New(t).True(slowest <= 3*time.Second)
+}
+
+// holds reports whether all nodes hold a version.
+func (f *fleet) holds(version uint64) bool {
+	return !slices.ContainsFunc(f.members, func(m *member) bool { return m.tracker.Held().Version != version })
+}
--- /dev/null
+++ b/internal/process/node/configuration_test.go
@@ -0,0 +1,183 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
+	"github.com/bilberryvane/bilberryvane/trial/backend"
+	"github.com/bilberryvane/bilberryvane/trial/deployment"
+	"github.com/bilberryvane/bilberryvane/trial/platform"
+)
+
+// startPlatform runs a stand-in of the platform until the test ends.
+func startPlatform(t *testing.T) (*platform.Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := platform.New()
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+		<-done
+	})
+	return server, listener.Addr().String()
+}
+
+// followingFleet starts nodes that take their configuration from a platform.
+func followingFleet(t *testing.T) (*fleet, *platform.Server) {
+	t.Helper()
+	server, address := startPlatform(t)
+	l := twoServices()
+	l.Platform, l.Follow, l.Accounts = address, true, append(l.Accounts, deployment.Account{Name: "depot-sued", Rate: 1000, Burst: 100})
+	d, err := deployment.Plan(t.TempDir(), l)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(d.Publish())
+	f := &fleet{t: t, deployment: d, hosts: map[string]*deployment.Running{}, logs: &logBuffer{}}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		var stopping sync.WaitGroup
+		for _, h := range f.hosts {
+			stopping.Go(func() {
+				if err := h.Stop(); err != nil {
+					t.Errorf("stop %s: %v", h.Host.Name, err)
+				}
+			})
+		}
+		stopping.Wait()
+	})
+	for _, h := range d.Hosts {
+		f.startHost(h)
+	}
+	return f, server
+}
+
+func (f *fleet) startHost(h deployment.Host) {
+	f.t.Helper()
+	b := backend.Settings{Service: h.Service, Slots: 1, Connections: 50, ServiceTime: time.Millisecond}
+	running, err := f.deployment.StartHost(h, b, f.logs)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.hosts[h.Name] = running
+}
+
+// withdraw publishes the configuration without the key of an account.
+func (f *fleet) withdraw(account string, base uint64) {
+	f.t.Helper()
+	content, err := os.ReadFile(f.deployment.Configuration)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	before, rest, _ := strings.Cut(string(content), "[key "+account+"-key]")
+	_, after, _ := strings.Cut(rest, "[")
+	_, err = f.deployment.Registry().Publish(context.Background(), distribution.Change{
+		ID: fmt.Sprint("withdraw ", account), Base: base, Content: []byte(before + "[" + after), Author: "test",
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// until sends requests on kept connections until one is answered as wanted.
+func (f *fleet) until(h deployment.Host, secret, reason string, status int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		response, body := f.send(h, http.MethodGet, "/stock/items", secret, "", nil)
+		if response.StatusCode == status && strings.Contains(body, reason) {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("%s answers %d %s, want %d %s", h.Name, response.StatusCode, body, status, reason)
+		}
+	}
+}
+
+func TestWithdrawnKeyStopsForConnectedAndQueuedCallers(t *testing.T) {
+	is := is.New(t)
+	f, _ := followingFleet(t)
+	withdrawn, other := f.deployment.Keys["depot-nord"], f.deployment.Keys["depot-sued"]
+	for _, h := range f.deployment.Hosts {
+		f.until(h, withdrawn, "", http.StatusOK)
+	}
+	for _, h := range f.deployment.HostsOf("stock") {
+		f.hosts[h.Name].Backend.Slow(5000) // a request takes five seconds in the one slot
+	}
+	entry := f.deployment.HostsOf("planning")[0]
+	ended := make(chan string, 8)
+	var senders sync.WaitGroup
+	senders.Go(func() {
+		response, _ := f.send(entry, http.MethodGet, "/stock/items", other, "", nil)
+		ended <- fmt.Sprint("running ", response.StatusCode)
+	})
+	f.waitRunning(1)
+	for range 3 {
+		senders.Go(func() {
+			_, body := f.send(entry, http.MethodGet, "/stock/items", withdrawn, "", nil)
+			ended <- "queued " + body
+		})
+	}
+	f.withdraw("depot-nord", 1)
+	runner := f.hosts[f.deployment.HostsOf("stock")[0].Name].Node
+	for range 3 {
+		first := <-ended
+		is.Equal(runner.Status().Running, 1)
+		is.True(strings.HasPrefix(first, "queued")) // refused while the slots are still taken
+		is.True(strings.Contains(first, `"outcome":"not-run"`))
+		is.True(strings.Contains(first, "withdrawn-key") || strings.Contains(first, "unknown-key"))
+	}
+	senders.Wait()
+	for _, h := range f.deployment.Hosts {
+		f.until(h, withdrawn, "unknown-key", http.StatusUnauthorized)
+	}
+	is.Equal(<-ended, "running 200")
+}
+
+// waitRunning waits until backend servers of the stock service run requests.
+func (f *fleet) waitRunning(want int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		running := 0
+		for _, h := range f.deployment.HostsOf("stock") {
+			running += f.hosts[h.Name].Node.Status().Running
+		}
+		if running == want {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("%d requests are running, want %d", running, want)
+		}
+	}
+}
+
+func TestRestartedNodeServesWithPlatformDown(t *testing.T) {
+	is := is.New(t)
+	f, server := followingFleet(t)
+	secret := f.deployment.Keys["depot-nord"]
+	restarted := f.deployment.HostsOf("planning")[1]
+	f.until(restarted, secret, "", http.StatusOK)
+	f.withdraw("depot-sued", 1)
+	for _, h := range f.deployment.Hosts {
+		f.until(h, f.deployment.Keys["depot-sued"], "unknown-key", http.StatusUnauthorized)
+	}
+	server.SetFaults(platform.Faults{Down: true})
+	is.NoErr(f.hosts[restarted.Name].Stop())
+	f.startHost(restarted)
+	f.until(restarted, secret, "", http.StatusOK)
+	f.until(restarted, f.deployment.Keys["depot-sued"], "unknown-key", http.StatusUnauthorized)
+	is.Equal(f.hosts[restarted.Name].Node.Status().ConfigurationVersion, uint64(2))
+}
--- /dev/null
+++ b/internal/process/node/follow.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"math/rand"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
+	"github.com/bilberryvane/bilberryvane/internal/process/directory"
+	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
+	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
+	"github.com/bilberryvane/bilberryvane/internal/request/entry"
+)
+
+// followWorkers bounds the exchanges about the configuration that are under way.
+const followWorkers = 16
+
+// Configuration gives the version in force at the node.
+type Configuration interface {
+	entry.Configuration
+	withdrawal.Configuration
+}
+
+// follow makes the parts that keep the configuration, unless it was given.
+func (n *Node) follow() {
+	if n.configuration != nil {
+		n.keys = withdrawal.NewGuard(n.configuration)
+		return
+	}
+	n.followPool = pond.NewPool(followWorkers)
+	peers := configurationPeers{endpoint: n.endpoint, directory: n.directory, host: n.settings.Host.Name}
+	self := distribution.Peer{Host: n.settings.Host.Name, Zone: n.settings.Host.Zone, Address: n.endpoint.Address()}
+	n.follower = distribution.NewFollower(self, distribution.Parts{
+		Source:    n.registryOnPlatform(),
+		Caller:    peers,
+		Directory: peers,
+		Gossip:    noGossip{},
+		Pool:      n.followPool,
+		Clock:     n.clock,
+		Log:       n.log,
+		Random:    rand.New(rand.NewSource(n.clock.Now().UnixNano())),
+	}, distribution.WithKeyBound(n.settings.Keys.Bound))
+	n.configuration = n.follower
+	n.keys = withdrawal.NewGuard(n.follower)
+	n.follower.Watch(n.keys.Update)
+	n.endpoint.Handle(peer.Kind(distribution.KindAsk), peers.handler(n.follower.HandleAsk))
+	n.endpoint.Handle(peer.Kind(distribution.KindNotice), peers.handler(n.follower.HandleNotice))
+	n.metrics.Publish("configuration-version", expvar.Func(func() any { return n.follower.Snapshot().Version() }))
+}
+
+// registryOnPlatform returns the registry of configurations on the platform.
+func (n *Node) registryOnPlatform() *distribution.Registry {
+	s := n.settings.Platform
+	at := platform.Endpoint{
+		TableURL:   s.TableEndpoint,
+		ObjectsURL: s.ObjectEndpoint,
+		Region:     s.Region,
+		AccessKey:  s.AccessKey,
+		SecretKey:  s.SecretKey,
+		TableName:  s.Table,
+		Bucket:     s.Bucket,
+	}
+	meter := platform.NewMeter(n.clock)
+	n.metrics.Publish("platform", meter)
+	options := []platform.Option{platform.WithTimeout(s.Timeout), platform.WithMeter(meter)}
+	return distribution.NewRegistry(platform.NewTable(at, options...), platform.NewObjects(at, options...))
+}
+
+// configurationPeers joins a follower to the other nodes.
+type configurationPeers struct {
+	endpoint  *peer.Endpoint
+	directory *directory.Directory
+	host      string
+}
+
+// Call sends a message to another node.
+func (p configurationPeers) Call(ctx context.Context, address string, kind uint16, body []byte) ([]byte, error) {
+	return p.endpoint.Call(ctx, address, peer.Kind(kind), body)
+}
+
+// Peers returns the other nodes.
+func (p configurationPeers) Peers() []distribution.Peer {
+	var peers []distribution.Peer
+	for _, d := range p.directory.Nodes() {
+		if d.Host != p.host {
+			peers = append(peers, distribution.Peer{Host: d.Host, Zone: d.Zone, Address: d.Address})
+		}
+	}
+	return peers
+}
+
+// handler adds to a message the address at which its sender can be asked back.
+func (p configurationPeers) handler(
+	handle func(context.Context, distribution.Peer, []byte) ([]byte, error),
+) peer.Handler {
+	return func(ctx context.Context, from peer.Identity, body []byte) ([]byte, error) {
+		sender := distribution.Peer{Host: from.Host, Zone: from.Zone}
+		for _, known := range p.Peers() {
+			if known.Host == from.Host {
+				sender.Address = known.Address
+			}
+		}
+		return handle(ctx, sender, body)
+	}
+}
+
+// noGossip spreads no rumours.
+type noGossip struct{}
+
+// Publish spreads nothing.
+func (noGossip) Publish(string, string, []byte) {}
+
+// Subscribe hears nothing.
+func (noGossip) Subscribe(string, func(string, []byte)) {}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
@@ -21,11 +22,12 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/burn"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
+	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
-	"github.com/bilberryvane/bilberryvane/internal/request/entry"
+	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
 	"github.com/bilberryvane/bilberryvane/internal/request/registry"
 )
 
@@ -41,21 +43,25 @@
 	settings      settings.Settings
 	clock         clock.Clock
 	log           event.Log
-	configuration entry.Configuration
-	endpoint      *peer.Endpoint
-	registry      *registry.Registry
-	backend       *backend.Client
-	admission     *admitter.Fixed
-	directory     *directory.Directory
-	refusals      *refusals.Log
-	metrics       *metrics.Metrics
-	burn          *burn.Recorder
-	callers       *caller.Server
-	local         *caller.Server
-	operators     *operator.Server
-	tasks         sync.WaitGroup
-	cancel        context.CancelFunc
-	leaving       atomic.Bool
+	configuration Configuration
+	// follower is nil where the configuration was given by an option.
+	follower   *distribution.Follower
+	followPool pond.Pool
+	keys       *withdrawal.Guard
+	endpoint   *peer.Endpoint
+	registry   *registry.Registry
+	backend    *backend.Client
+	admission  *admitter.Fixed
+	directory  *directory.Directory
+	refusals   *refusals.Log
+	metrics    *metrics.Metrics
+	burn       *burn.Recorder
+	callers    *caller.Server
+	local      *caller.Server
+	operators  *operator.Server
+	tasks      sync.WaitGroup
+	cancel     context.CancelFunc
+	leaving    atomic.Bool
 
 	// mu guards announced.
 	mu        sync.Mutex
@@ -77,8 +83,9 @@
 // WithLogger makes the node log through another logger.
 func WithLogger(l log.Interface) Option { return func(n *Node) { n.log = event.NewLog(l) } }
 
-// WithConfiguration makes the node use a source of configurations.
-func WithConfiguration(c entry.Configuration) Option {
+// WithConfiguration makes the node use a source of configurations in place of
+// the platform and its peers.
+func WithConfiguration(c Configuration) Option {
 	return func(n *Node) { n.configuration = c }
 }
 
@@ -116,6 +123,12 @@
 func (n *Node) run(ctx context.Context) {
 	n.tasks.Go(func() { n.directory.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
+	if n.follower != nil {
+		n.tasks.Go(func() {
+			n.follower.Run(ctx)
+			n.followPool.StopAndWait()
+		})
+	}
 }
 
 // Addresses are the addresses that a running node listens on.
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -56,7 +56,8 @@
 		Address: n.endpoint.Address(),
 	}
 	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
-	executor := execute.New(n.settings.Host.Name, keys{n.configuration}, n.admission, noQuarantine{},
+	n.follow()
+	executor := execute.New(n.settings.Host.Name, n.keys, n.admission, noQuarantine{},
 		n.backend, n.registry, n.clock)
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
 	forwarder := forward.New(n.directory, noBudget{}, executor, n.endpoint, n.clock)
@@ -110,15 +111,6 @@
 	})
 }
 
-// keys tells whether keys work by the configuration in force.
-type keys struct{ configuration entry.Configuration }
-
-// KeyActive reports whether the key stands in the configuration in force.
-func (k keys) KeyActive(id string) bool {
-	snapshot, ok := k.configuration.Current()
-	return ok && snapshot.KeyActive(id)
-}
-
 // noQuarantine holds back no request.
 type noQuarantine struct{}
 
--- a/internal/process/settings/options.go
+++ b/internal/process/settings/options.go
@@ -17,6 +17,7 @@
 	maxQueue       = 1 << 16
 	minTimeout     = time.Millisecond
 	maxTimeout     = 10 * time.Minute
+	maxKeyBound    = 30 * 24 * time.Hour
 )
 
 var options = []option{
@@ -141,6 +142,13 @@
 			r.Timing.AnnounceExpiry = s.Duration(k, 3*time.Second, minTimeout, maxTimeout)
 		},
 	},
+	{
+		section: "keys", key: "bound", standard: "24h",
+		about: "How long a node that is cut off from the platform and from all nodes that reach it trusts its keys; 0s is without end.",
+		read: func(r *Settings, s *document.Section, k string) {
+			r.Keys.Bound = s.Duration(k, 24*time.Hour, 0, maxKeyBound)
+		},
+	},
 }
 
 func readBackendAddress(r *Settings, s *document.Section, key string) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -19,6 +19,7 @@
 	Peers    Peers
 	Limits   Limits
 	Timing   Timing
+	Keys     Keys
 }
 
 // Host says which host the node runs on.
@@ -98,6 +99,12 @@
 	AnnounceExpiry time.Duration
 }
 
+// Keys says how far client account keys are trusted.
+type Keys struct {
+	// Bound is how long a node that is cut off trusts its keys; 0 is without end.
+	Bound time.Duration
+}
+
 // An option is one key of the settings. The table of options is the single
 // source for reading, for checking and for docs/SETTINGS.md.
 type option struct {
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -55,6 +55,9 @@
 // Configuration gives the configuration version in force at the node.
 type Configuration interface {
 	Current() (configuration.Snapshot, bool)
+	// KeysUsable reports whether the node may trust its keys: one that has been
+	// cut off for too long can't know which were withdrawn.
+	KeysUsable() bool
 }
 
 // Rate holds client accounts to their rate. Take waits no longer than the given
@@ -159,6 +162,9 @@
 	c.Importance = work.Importance
 	c.Deadline = now.Add(timeout(in, work))
 	if !work.Open {
+		if !e.configuration.KeysUsable() {
+			return c, work, refusal.New(refusal.KeysUnconfirmed)
+		}
 		owner, err := authenticate(snapshot, in.Secret)
 		if err != nil {
 			return c, work, err
--- a/internal/request/execute/execute.go
+++ b/internal/request/execute/execute.go
@@ -47,7 +47,12 @@
 
 // Keys tells whether a key still works at this node.
 type Keys interface {
-	KeyActive(id string) bool
+	// KeyActive reports whether a key works for a request that was let in under
+	// a configuration version.
+	KeyActive(id string, admitted uint64) bool
+	// Wait returns a context that ends when the key is withdrawn, with the refusal
+	// as its cause. The caller calls done when the wait is over.
+	Wait(ctx context.Context, id string) (waiting context.Context, done func())
 }
 
 // An Executor executes calls on one backend server. It is safe for concurrent use.
@@ -79,7 +84,7 @@
 }
 
 func (e *Executor) admitted(ctx context.Context, r exchange.Request) Result {
-	done, err := e.admission.Admit(ctx, r.Context)
+	done, err := e.wait(ctx, r.Context)
 	if err != nil {
 		return Result{Answer: e.refuse(r.Context, err)}
 	}
@@ -88,11 +93,42 @@
 	return result
 }
 
+// wait returns when the call is admitted, or as soon as its key is withdrawn. The
+// key is looked at once the wait has begun, so that no withdrawal falls between.
+func (e *Executor) wait(ctx context.Context, c call.Context) (func(Result), error) {
+	waiting, over := e.keys.Wait(ctx, c.KeyID)
+	defer over()
+	if !e.keyActive(c) {
+		return nil, refusal.New(refusal.WithdrawnKey)
+	}
+	done, err := e.admission.Admit(waiting, c)
+	if err != nil {
+		return nil, withdrawn(context.Cause(waiting), err)
+	}
+	return done, nil
+}
+
+// keyActive reports whether the key of a call still works; calls of open classes
+// have none.
+func (e *Executor) keyActive(c call.Context) bool {
+	return c.KeyID == "" || e.keys.KeyActive(c.KeyID, c.ConfigurationVersion)
+}
+
+// withdrawn returns the refusal that ended a wait because the key was withdrawn,
+// or else the error of the wait.
+func withdrawn(cause, err error) error {
+	var r refusal.Refusal
+	if errors.As(cause, &r) {
+		return r
+	}
+	return err
+}
+
 // run hands the request over. Time has passed in the queue, so it first checks
 // that the key still works and that the caller still waits.
 func (e *Executor) run(ctx context.Context, r exchange.Request) Result {
 	c := r.Context
-	if c.KeyID != "" && !e.keys.KeyActive(c.KeyID) {
+	if !e.keyActive(c) {
 		return Result{Answer: e.refuse(c, refusal.New(refusal.WithdrawnKey))}
 	}
 	if ctx.Err() != nil || c.Expired(e.clock.Now()) {
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -57,6 +57,7 @@
 	Leaving               Reason = "leaving"
 	Cancelled             Reason = "cancelled"
 	IncompatiblePeer      Reason = "incompatible-peer"
+	KeysUnconfirmed       Reason = "keys-unconfirmed"
 )
 
 var kinds = map[Reason]kind{
@@ -84,6 +85,7 @@
 	NoConfiguration:       {http.StatusServiceUnavailable, "This host has no configuration yet"},
 	Leaving:               {http.StatusServiceUnavailable, "This host is shutting down"},
 	Cancelled:             {statusClientClosedRequest, "The caller gave up before the answer was ready"},
+	KeysUnconfirmed:       {http.StatusServiceUnavailable, "This host has been cut off for so long that it can't tell which keys still work"},
 	IncompatiblePeer:      {http.StatusServiceUnavailable, "Another host speaks a different version of the internal protocol"},
 }
 
--- a/trial/deployment/deployment.go
+++ b/trial/deployment/deployment.go
@@ -64,6 +64,9 @@
 	Hosts int
 	// Platform is the address of the platform's stand-in; Plan fills it if empty.
 	Platform string
+	// Follow makes nodes in the process of a test take their configuration from
+	// the platform and their peers; otherwise it is fixed.
+	Follow bool
 	// Extra is added to the settings of every host.
 	Extra string
 }
--- a/trial/deployment/inprocess.go
+++ b/trial/deployment/inprocess.go
@@ -22,6 +22,12 @@
 // Current returns the configuration.
 func (f Fixed) Current() (configuration.Snapshot, bool) { return f.snapshot, true }
 
+// KeysUsable reports that the keys are always trusted.
+func (f Fixed) KeysUsable() bool { return true }
+
+// Heard ignores that another version exists.
+func (f Fixed) Heard(uint64) {}
+
 // A Running is one host whose node and backend server run in this process.
 type Running struct {
 	Host    Host
@@ -30,12 +36,21 @@
 	cancel  context.CancelFunc
 }
 
-// Stop ends the backend server and the node at once.
+// Stop shuts the node down and then ends the backend server.
 func (r *Running) Stop() error {
 	r.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	return r.Node.Shutdown(ctx)
+	if err := r.Node.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down node: %w", err)
+	}
+	if r.Backend == nil {
+		return nil
+	}
+	if err := r.Backend.Stop(ctx); err != nil {
+		return fmt.Errorf("stop backend server: %w", err)
+	}
+	return nil
 }
 
 // StartHost starts the node of a host in this process, and its backend server if
@@ -49,12 +64,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
-	source, err := d.Source()
-	if err != nil {
-		return nil, err
-	}
 	logger := &log.Logger{Handler: json.New(logs), Level: log.InfoLevel}
-	options = append([]node.Option{node.WithLogger(logger), node.WithConfiguration(source)}, options...)
+	options = append([]node.Option{node.WithLogger(logger)}, options...)
+	if !d.Layout.Follow {
+		source, err := d.Source()
+		if err != nil {
+			return nil, err
+		}
+		options = append([]node.Option{node.WithConfiguration(source)}, options...)
+	}
 	started, err := node.Start(read, options...)
 	if err != nil {
 		return nil, fmt.Errorf("start node %s: %w", h.Name, err)
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -72,6 +72,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := d.Publish(); err != nil {
+		f.Stop()
+		return nil, err
+	}
 	for _, h := range d.Hosts {
 		host := &Host{Host: h, Runs: filepath.Join(directory, h.Name+".runs")}
 		f.Hosts = append(f.Hosts, host)
@@ -86,7 +90,7 @@
 // StartHost starts the processes of a host.
 func (f *Fleet) StartHost(h *Host) error {
 	var err error
-	if h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings, "--configuration", f.Deployment.Configuration); err != nil {
+	if h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings); err != nil {
 		return err
 	}
 	s := f.servers[h.Service]
@@ -157,7 +161,7 @@
 		return fmt.Errorf("stop node of %s: %w", h.Name, err)
 	}
 	var err error
-	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings, "--configuration", f.Deployment.Configuration)
+	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings)
 	return err
 }
 
