--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,10 +31,9 @@
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	t.Cleanup(func() {
-		if err := server.Close(); err != nil {
+		if err := errors.Join(server.Close(), <-done); err != nil {
 			t.Error(err)
 		}
-		<-done
 	})
 	return server, listener.Addr().String()
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -45,23 +45,24 @@
 	log           event.Log
 	configuration Configuration
 	// follower is nil where the configuration was given by an option.
-	follower   *distribution.Follower
-	followPool pond.Pool
-	keys       *withdrawal.Guard
-	endpoint   *peer.Endpoint
-	registry   *registry.Registry
-	backend    *backend.Client
-	admission  *admitter.Fixed
-	directory  *directory.Directory
-	refusals   *refusals.Log
-	metrics    *metrics.Metrics
-	burn       *burn.Recorder
-	callers    *caller.Server
-	local      *caller.Server
-	operators  *operator.Server
-	tasks      sync.WaitGroup
-	cancel     context.CancelFunc
-	leaving    atomic.Bool
+	follower    *distribution.Follower
+	followPool  pond.Pool
+	keys        *withdrawal.Guard
+	endpoint    *peer.Endpoint
+	peerOptions []peer.Option
+	registry    *registry.Registry
+	backend     *backend.Client
+	admission   *admitter.Fixed
+	directory   *directory.Directory
+	refusals    *refusals.Log
+	metrics     *metrics.Metrics
+	burn        *burn.Recorder
+	callers     *caller.Server
+	local       *caller.Server
+	operators   *operator.Server
+	tasks       sync.WaitGroup
+	cancel      context.CancelFunc
+	leaving     atomic.Bool
 
 	// mu guards announced.
 	mu        sync.Mutex
@@ -89,6 +90,11 @@
 	return func(n *Node) { n.configuration = c }
 }
 
+// WithPeerOptions changes how the endpoint towards other nodes is opened.
+func WithPeerOptions(o ...peer.Option) Option {
+	return func(n *Node) { n.peerOptions = append(n.peerOptions, o...) }
+}
+
 // Start makes a node and begins to serve.
 func Start(s settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -58,16 +59,27 @@
 	directory  string
 	servers    map[string]Server
 	platform   *exec.Cmd
+	direct     bool
 }
 
+// An Option changes how a fleet is started.
+type Option func(*Fleet)
+
+// WithDirect starts only the backend servers, which call one another directly.
+func WithDirect(direct bool) Option { return func(f *Fleet) { f.direct = direct } }
+
 // Start plans a deployment below a directory and starts its processes with the
 // programs of another one. Servers holds the behaviour for each service.
-func Start(programs, directory string, l deployment.Layout, servers map[string]Server) (*Fleet, error) {
+func Start(programs, directory string, l deployment.Layout, servers map[string]Server, options ...Option) (*Fleet, error) {
 	d, err := deployment.Plan(directory, l)
 	if err != nil {
 		return nil, fmt.Errorf("plan deployment: %w", err)
 	}
 	f := &Fleet{Deployment: d, programs: programs, directory: directory, servers: servers}
+	for _, o := range options {
+		o(f)
+	}
+	f.stopOnSignal()
 	f.platform, err = f.start("platform", "trial-platform", "--listen", d.Layout.Platform)
 	if err != nil {
 		return nil, err
@@ -87,10 +99,20 @@
 	return f, nil
 }
 
+// stopOnSignal ends all processes when the trial itself is told to end.
+func (f *Fleet) stopOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-told
+		f.Stop()
+		os.Exit(1)
+	}()
+}
+
 // StartHost starts the processes of a host.
 func (f *Fleet) StartHost(h *Host) error {
-	var err error
-	if h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings); err != nil {
+	if err := f.startNode(h); err != nil {
 		return err
 	}
 	s := f.servers[h.Service]
@@ -105,10 +127,50 @@
 	if len(s.Calls) > 0 {
 		arguments = append(append(arguments, "--calls"), s.Calls...)
 	}
+	if f.direct {
+		arguments = append(append(arguments, "--direct"), f.directAddresses()...)
+	}
+	var err error
 	h.backend, err = f.start(h.Name+"-backend", "trial-backend", arguments...)
 	return err
 }
 
+// startNode starts the node of a host, unless the fleet has none.
+func (f *Fleet) startNode(h *Host) error {
+	if f.direct {
+		return nil
+	}
+	var err error
+	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings)
+	return err
+}
+
+// directAddresses lists all backend servers as service and address.
+func (f *Fleet) directAddresses() []string {
+	var addresses []string
+	for _, h := range f.Deployment.Hosts {
+		addresses = append(addresses, h.Service+"="+h.Server)
+	}
+	return addresses
+}
+
+// DirectEntries returns the backend servers that a request path leads to, and the
+// path as they know it.
+func (f *Fleet) DirectEntries(path string) ([]string, string) {
+	var addresses []string
+	service := ServiceOf(path)
+	for _, h := range f.Deployment.HostsOf(service) {
+		addresses = append(addresses, h.Server)
+	}
+	return addresses, strings.TrimPrefix(path, "/"+service)
+}
+
+// ServiceOf returns the service that a request path leads to.
+func ServiceOf(path string) string {
+	service, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return service
+}
+
 // start starts one program; its output goes to a file named after it.
 func (f *Fleet) start(name, program string, arguments ...string) (*exec.Cmd, error) {
 	out, err := os.OpenFile(filepath.Join(f.directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -140,12 +202,12 @@
 }
 
 // Freeze stops the processes of a host from running; Thaw lets them go on.
-func (f *Fleet) Freeze(h *Host) error { return signal(h, syscall.SIGSTOP) }
+func (f *Fleet) Freeze(h *Host) error { return signalHost(h, syscall.SIGSTOP) }
 
 // Thaw lets the processes of a frozen host go on.
-func (f *Fleet) Thaw(h *Host) error { return signal(h, syscall.SIGCONT) }
+func (f *Fleet) Thaw(h *Host) error { return signalHost(h, syscall.SIGCONT) }
 
-func signal(h *Host, s syscall.Signal) error {
+func signalHost(h *Host, s syscall.Signal) error {
 	for _, c := range []*exec.Cmd{h.node, h.backend} {
 		if err := c.Process.Signal(s); err != nil {
 			return fmt.Errorf("signal %s: %w", h.Name, err)
@@ -157,12 +219,18 @@
 // Restart replaces the node of a host as operators do: it is told to leave and
 // started again when it has ended.
 func (f *Fleet) Restart(h *Host) error {
+	if f.direct {
+		return f.restartBackend(h)
+	}
 	if err := terminate(h.node); err != nil {
 		return fmt.Errorf("stop node of %s: %w", h.Name, err)
 	}
-	var err error
-	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings)
-	return err
+	return f.startNode(h)
+}
+
+func (f *Fleet) restartBackend(h *Host) error {
+	kill(h.backend)
+	return f.StartHost(h)
 }
 
 // Stop ends all processes.
