Measure added latency over two nodes against direct calls

Cause: most of the demonstration's sample stayed on one host, so the hop between nodes was hardly in its figure. Ruled out: pinning calls to nodes by address; callers enter at hosts that do not offer the service instead.

--- a/trial/cmd/trial-demo/main.go
+++ b/trial/cmd/trial-demo/main.go
@@ -17,6 +17,7 @@
 	"github.com/bilberryvane/bilberryvane/trial/fleet"
 	"github.com/bilberryvane/bilberryvane/trial/load"
 	"github.com/bilberryvane/bilberryvane/trial/measure"
+	"github.com/bilberryvane/bilberryvane/trial/scenario"
 )
 
 // The course of the demonstration, counted from the start of the load.
@@ -28,7 +29,7 @@
 	// sampleTime is how long latency is measured before the load.
 	sampleTime = 3 * time.Second
 	// sampleRate is the rate of those requests a second.
-	sampleRate = 100
+	sampleRate = 100.0
 )
 
 type arguments struct {
@@ -69,10 +70,17 @@
 		return fmt.Errorf("wait for fleet: %w", err)
 	}
 	fmt.Printf("started %d nodes in %d zones\n", len(f.Hosts), len(f.Deployment.Layout.Zones))
-	sampleLatency(ctx, f, a.Seed)
+	fmt.Println(scenario.SampleLatency(ctx, f, sample(f), a.Seed))
 	return drive(ctx, f, a.Seed)
 }
 
+func sample(f *fleet.Fleet) scenario.Sample {
+	return scenario.Sample{
+		Service: "stock", Class: "colour-lookup", Path: "/colours",
+		Secret: f.Deployment.Keys["depot-nord"], Rate: sampleRate, Length: sampleTime,
+	}
+}
+
 func layout() deployment.Layout {
 	return deployment.Layout{
 		Zones: []string{"bayern-1", "bayern-2", "bayern-3"},
@@ -103,35 +111,6 @@
 	}
 }
 
-// sampleLatency compares calls through the system with calls straight to a
-// backend server, at a load far below saturation.
-func sampleLatency(ctx context.Context, f *fleet.Fleet, seed uint64) {
-	stock := f.Deployment.HostsOf("stock")
-	driver := load.New(seed)
-	direct := load.Stream{
-		Name: "direct", Class: "colour-lookup", Method: "GET", Path: "/colours", Rate: sampleRate, Timeout: time.Second,
-	}
-	through := direct
-	through.Name, through.Path, through.Secret = "through", "/stock/colours", f.Deployment.Keys["depot-nord"]
-	for _, h := range stock {
-		direct.Entries = append(direct.Entries, h.Server)
-	}
-	through.Entries = f.Entries("")
-	var streams sync.WaitGroup
-	for _, s := range []load.Stream{direct, through} {
-		streams.Go(func() { driver.Run(ctx, s, sampleTime) })
-	}
-	streams.Wait()
-	results := driver.Results()
-	straight := load.Latencies(of(results, "direct"))
-	added := load.Latencies(of(results, "through"))
-	const perMillisecond = 1000.0
-	fmt.Printf("latency p50/p99: direct %.2f/%.2f ms, through two nodes %.2f/%.2f ms, added at p99 %.2f ms (target 1.6 ms)\n",
-		float64(straight.ValueAtQuantile(50))/perMillisecond, float64(straight.ValueAtQuantile(99))/perMillisecond,
-		float64(added.ValueAtQuantile(50))/perMillisecond, float64(added.ValueAtQuantile(99))/perMillisecond,
-		float64(added.ValueAtQuantile(99)-straight.ValueAtQuantile(99))/perMillisecond)
-}
-
 func of(results []load.Result, stream string) []load.Result {
 	var found []load.Result
 	for _, r := range results {
--- a/trial/scenario/deployments.go
+++ b/trial/scenario/deployments.go
@@ -144,3 +144,25 @@
 }
 
 func accountName(i int) string { return "account-" + string(rune('1'+i)) }
+
+// Latencies is a deployment with ample capacity, for measuring latency. Callers
+// enter at the hosts of one service and ask for another, so that each call passes
+// two nodes.
+func Latencies() User {
+	return User{
+		Name: "latency",
+		Layout: deployment.Layout{
+			Zones:    []string{"zone-1", "zone-2", "zone-3"},
+			Hosts:    1,
+			Services: []deployment.Service{{Name: "stock"}, {Name: "front"}},
+			Classes: []deployment.Class{
+				{Name: "lookup", Service: "stock", PathPrefix: "/colours", Target: 300 * time.Millisecond, Importance: 3, Idempotent: true},
+			},
+			Accounts: accounts([]float64{5000}),
+		},
+		Servers: map[string]fleet.Server{
+			"stock": {Slots: 50, Connections: 200, ServiceTime: 5 * time.Millisecond},
+			"front": {Slots: 1, Connections: 1, ServiceTime: time.Millisecond},
+		},
+	}
+}
