--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -54,17 +54,18 @@
 	mu          sync.Mutex
 	group       *member.Group
 	outputs     []member.Output
-	subscribers map[string][]Subscriber
+	subscribers map[string][]func(key string, payload []byte)
 	// announced is the incarnation that the table holds.
 	announced   uint64
 	unreachable map[string]bool
+	// entries is what All returned last, of the generation and time below.
+	entries    []member.Entry
+	generation uint64
+	listed     time.Time
 	// rejected is when a rejected message was last logged.
 	rejected time.Time
 }
 
-// A Subscriber is told of a rumour. It must not block.
-type Subscriber func(key string, payload []byte)
-
 // Self says who the node is.
 type Self struct {
 	// Host is the unique name of the host; Zone its availability zone.
@@ -98,7 +99,7 @@
 		log:         p.Log,
 		ready:       make(chan struct{}, 1),
 		group:       member.New(self.Zone, own, p.Seeds, now, random, options...),
-		subscribers: make(map[string][]Subscriber),
+		subscribers: make(map[string][]func(key string, payload []byte)),
 		unreachable: make(map[string]bool),
 	}
 }
@@ -246,9 +247,12 @@
 }
 
 // Publish spreads a small value to every node of every zone, this one included.
-// It replaces the earlier value of the topic and key.
-func (m *Membership) Publish(topic, key string, payload []byte) error {
-	return m.PublishRumour(member.Rumour{Topic: topic, Key: key, Payload: payload}, 0)
+// It replaces the earlier value of the topic and key. A value that can't be spread
+// is a fault of the caller's and logged.
+func (m *Membership) Publish(topic, key string, payload []byte) {
+	if err := m.PublishRumour(member.Rumour{Topic: topic, Key: key, Payload: payload}, 0); err != nil {
+		m.reject(err)
+	}
 }
 
 // PublishRumour spreads a rumour with a version of the caller's, which ends after
@@ -265,16 +269,15 @@
 	return nil
 }
 
-// Subscribe calls the subscriber for each new value of a topic, and for those that
-// the node holds already.
-func (m *Membership) Subscribe(topic string, s Subscriber) {
+// Subscribe calls a function for each new value of a topic, and for those that the
+// node holds already. It must not block, and may be told of a value twice.
+func (m *Membership) Subscribe(topic string, told func(key string, payload []byte)) {
 	m.mu.Lock()
-	held := m.group.Rumours(topic, m.clock.Now())
-	m.subscribers[topic] = append(m.subscribers[topic], s)
+	m.subscribers[topic] = append(m.subscribers[topic], told)
 	m.mu.Unlock()
-	for _, r := range held {
-		s(r.Key, r.Payload)
-	}
+	m.step(func(g *member.Group, now time.Time) member.Output {
+		return member.Output{Rumours: g.Rumours(topic, now)}
+	})
 }
 
 // Offer changes what the host offers; an empty service is none. A host that drains
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"time"
+
 	"github.com/bilberryvane/bilberryvane/member"
 )
 
@@ -28,12 +30,23 @@
 	return m.group.Find(host, m.clock.Now())
 }
 
+// listLifetime bounds how long All returns the same list: the reachability of zones
+// lapses without a new generation.
+const listLifetime = time.Second
+
 // All returns every node known: the present members of the own zone, and of other
-// zones those that summaries name.
+// zones those that summaries name. The result is shared and not to be changed.
 func (m *Membership) All() []member.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.group.Entries(m.clock.Now())
+	now := m.clock.Now()
+	generation := m.group.Generation()
+	if m.entries == nil || generation != m.generation || now.Sub(m.listed) >= listLifetime {
+		m.entries = m.group.Entries(now)
+		m.generation = generation
+		m.listed = now
+	}
+	return m.entries
 }
 
 // Zones returns what is known of the other zones.
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -61,11 +61,6 @@
 	if err != nil {
 		return fmt.Errorf("set up membership: %w", err)
 	}
-	p := n.settings.Platform
-	endpoint := platform.Endpoint{
-		TableURL: p.TableEndpoint, ObjectsURL: p.ObjectEndpoint, Region: p.Region,
-		AccessKey: p.AccessKey, SecretKey: p.SecretKey, TableName: p.Table, Bucket: p.Bucket,
-	}
 	self := membership.Self{
 		Host:    n.settings.Host.Name,
 		Zone:    n.settings.Host.Zone,
@@ -74,7 +69,7 @@
 	n.membership = membership.New(self, membership.Parts{
 		Transport: n.endpoint,
 		Keys:      groupKeys,
-		Table:     platform.NewTable(endpoint, platform.WithTimeout(p.Timeout)),
+		Table:     platform.NewTable(n.platformEndpoint(), platform.WithTimeout(n.settings.Platform.Timeout)),
 		Clock:     n.clock,
 		Log:       n.log,
 		Seeds:     n.settings.Peers.Seeds,
@@ -85,7 +80,8 @@
 // wire makes the parts that deal with requests and returns the entry to them.
 func (n *Node) wire() *entry.Entry {
 	n.directory = directory.New(n.settings.Host.Name, n.settings.Host.Zone, n.membership)
-	executor := execute.New(n.settings.Host.Name, keys{n.configuration}, n.admission, noQuarantine{},
+	n.follow()
+	executor := execute.New(n.settings.Host.Name, n.keys, n.admission, noQuarantine{},
 		n.backend, n.registry, n.clock)
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
 	forwarder := forward.New(n.directory, noBudget{}, executor, n.endpoint, n.clock)
@@ -139,15 +135,6 @@
 	})
 }
 
-// keys tells whether keys work by the configuration in force.
-type keys struct{ configuration entry.Configuration }
-
-// KeyActive reports whether the key stands in the configuration in force.
-func (k keys) KeyActive(id string) bool {
-	snapshot, ok := k.configuration.Current()
-	return ok && snapshot.KeyActive(id)
-}
-
 // noQuarantine holds back no request.
 type noQuarantine struct{}
 
--- a/internal/version/configuration/parse.go
+++ b/internal/version/configuration/parse.go
@@ -56,25 +56,6 @@
 	keyShare      = "share"
 )
 
-// keysOfKind lists the keys that each kind of section may hold.
-var keysOfKind = map[string][]string{
-	kindService: {keyCalls},
-	kindClass:   {keyService, keyMethod, keyPathPrefix, keyTarget, keyImportance, keyIdempotent, keyOpen},
-	kindAccount: {keyRate, keyBurst},
-	kindKey:     {keyAccount, keyHash},
-	kindZone:    {keyShare},
-}
-
-// Keys returns the keys that each kind of section may hold. The documentation
-// is checked against it.
-func Keys() map[string][]string {
-	copied := make(map[string][]string, len(keysOfKind))
-	for kind, keys := range keysOfKind {
-		copied[kind] = slices.Clone(keys)
-	}
-	return copied
-}
-
 // methods are the HTTP methods that a class may name.
 var methods = []string{
 	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
@@ -125,8 +106,8 @@
 }
 
 func (p *parser) readSection(s *document.Section) {
-	known, ok := keysOfKind[s.Kind()]
-	if !ok {
+	known := keysOf(s.Kind())
+	if len(known) == 0 {
 		p.document.Report(s.Line(), "unknown section %q; known are service, class, account, key, zone", s.Kind())
 		return
 	}
--- a/trial/cmd/trial-capacity/main.go
+++ b/trial/cmd/trial-capacity/main.go
@@ -33,6 +33,7 @@
 func parts() []part {
 	return []part{
 		{name: "membership", measure: capacity.Membership},
+		{name: "transport", measure: capacity.Transport},
 	}
 }
 
