--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -27,7 +27,8 @@
 
 // A Source knows the nodes that are up.
 type Source interface {
-	// All returns every node known, the own one included.
+	// All returns every node known, the own one included: the same list until it
+	// changes.
 	All() []member.Entry
 	// Nodes returns the nodes that take new work of a service.
 	Nodes(service string) []member.Node
@@ -41,9 +42,12 @@
 	host   string
 	zone   string
 
-	// mu guards next.
+	// mu guards next, entries and nodes.
 	mu   sync.Mutex
 	next int
+	// entries is the list from which nodes were made.
+	entries []member.Entry
+	nodes   []Node
 }
 
 // New returns the Directory of a node.
@@ -85,9 +89,15 @@
 // Observe ignores how tries end.
 func (d *Directory) Observe(forward.Target, call.Context, forward.Observation) {}
 
-// Nodes returns all nodes known, the own one included.
+// Nodes returns all nodes known, the own one included. The result is shared and
+// not to be changed.
 func (d *Directory) Nodes() []Node {
 	entries := d.source.All()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(entries) > 0 && len(entries) == len(d.entries) && &entries[0] == &d.entries[0] {
+		return d.nodes
+	}
 	nodes := make([]Node, 0, len(entries))
 	for _, e := range entries {
 		n := Node{Host: e.Host, Zone: e.Zone, Address: e.Address, Leaving: e.Draining, Incarnation: e.Incarnation}
@@ -96,6 +106,8 @@
 		}
 		nodes = append(nodes, n)
 	}
+	d.entries = entries
+	d.nodes = nodes
 	return nodes
 }
 
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -58,10 +58,9 @@
 	// announced is the incarnation that the table holds.
 	announced   uint64
 	unreachable map[string]bool
-	// entries is what All returned last, of the generation and time below.
+	// entries is what All returned last, of the generation below.
 	entries    []member.Entry
 	generation uint64
-	listed     time.Time
 	// rejected is when a rejected message was last logged.
 	rejected time.Time
 }
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"time"
-
 	"github.com/bilberryvane/bilberryvane/member"
 )
 
@@ -30,21 +28,15 @@
 	return m.group.Find(host, m.clock.Now())
 }
 
-// listLifetime bounds how long All returns the same list: the reachability of zones
-// lapses without a new generation.
-const listLifetime = time.Second
-
 // All returns every node known: the present members of the own zone, and of other
 // zones those that summaries name. The result is shared and not to be changed.
 func (m *Membership) All() []member.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
 	generation := m.group.Generation()
-	if m.entries == nil || generation != m.generation || now.Sub(m.listed) >= listLifetime {
-		m.entries = m.group.Entries(now)
+	if m.entries == nil || generation != m.generation {
+		m.entries = m.group.Entries(m.clock.Now())
 		m.generation = generation
-		m.listed = now
 	}
 	return m.entries
 }
--- a/member/compare.go
+++ b/member/compare.go
@@ -15,11 +15,14 @@
 	// that means a node that joins or a healed partition, where every node
 	// compares by itself.
 	spreadLimit = 16
-	// distantPerPeriod is about how many members of a zone turn to distant
-	// addresses in one period, so that these are not overrun, and distantDigests
-	// how many digests each of them sends.
+	// distantPerPeriod is about how many members of a zone turn to lost ones in one
+	// period, so that these are not overrun, and distantDigests is how many digests
+	// each of them sends.
 	distantPerPeriod = 8
 	distantDigests   = 2
+	// seedsPerPeriod is about how many members of a zone turn to a seed in one
+	// period while nobody is lost.
+	seedsPerPeriod = 2
 	// loneDigests is how many digests a node that holds nobody present sends.
 	loneDigests = 8
 )
@@ -38,30 +41,38 @@
 		period = g.settings.CatchUpPeriod
 	}
 	g.timers.sync = now.Add(period/2 + g.jitter(period))
-	distant := g.distant()
+	lost := g.lost()
 	if len(g.roster.order) == 0 {
-		g.sendDistant(distant, loneDigests)
+		g.sendDistant(slices.Concat(lost, g.seeds), loneDigests)
 		return
 	}
-	if g.joined && len(distant) > 0 && g.random.Intn(max(1, len(g.roster.order)/distantPerPeriod)) == 0 {
-		g.sendDistant(distant, distantDigests)
+	switch {
+	case !g.joined:
+	case len(lost) > 0:
+		if g.oneOf(distantPerPeriod) {
+			g.sendDistant(lost, distantDigests)
+		}
+	case g.oneOf(seedsPerPeriod):
+		g.sendDistant(g.seeds, 1)
 	}
 	g.sendDigest(g.roster.sample(1, g.random, "")[0].member.Address)
 }
 
-// distant returns the addresses that a healed partition may be found by: those of
-// members held dead and of bridges that others name, and, if there are none, the
-// seeds. A node that holds nobody present uses all of them.
-func (g *Group) distant() []string {
+// oneOf reports, at random, whether this node is one of about count nodes of its
+// zone that do something.
+func (g *Group) oneOf(count int) bool {
+	return g.random.Intn(max(1, len(g.roster.order)/count)) == 0
+}
+
+// lost returns the addresses by which a healed partition is found: those of members
+// held dead, and of bridges that others name but that are not held present.
+func (g *Group) lost() []string {
 	addresses := slices.Clone(g.peers)
 	for _, rec := range g.roster.tombstones {
 		if rec.member.Status == Dead {
 			addresses = append(addresses, rec.member.Address)
 		}
 	}
-	if len(addresses) == 0 || len(g.roster.order) == 0 {
-		addresses = append(addresses, g.seeds...)
-	}
 	return addresses
 }
 
--- a/member/directory.go
+++ b/member/directory.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Generation grows with each change of what Nodes may return, but for the lapse
-// of time, so that a caller can keep results.
+// Generation grows with each change of what Nodes and Entries return, at the latest
+// with the next tick, so that a caller can keep results.
 func (g *Group) Generation() uint64 { return g.generation + g.roster.generation }
 
 // Nodes returns the nodes that take new work of a service, those of the own zone
--- a/member/group.go
+++ b/member/group.go
@@ -146,6 +146,7 @@
 	g.timers.last = now
 	g.rumours.expire(now)
 	g.expireMembers(now)
+	g.watchZones(now)
 	g.probe(now)
 	g.sync(now)
 	g.speak(now)
--- a/member/zones.go
+++ b/member/zones.go
@@ -30,6 +30,8 @@
 	services map[string]summary
 	// heard is when the zone's last heartbeat arrived.
 	heard time.Time
+	// lapsed says that the generation counts the zone as unreachable.
+	lapsed bool
 }
 
 // outward is a rumour that a bridge has still to send to other zones.
@@ -126,11 +128,9 @@
 		var contacts []Contact
 		if cbor.Unmarshal(r.Payload, &contacts) == nil {
 			s.bridges = contacts
-		}
-	case topicHeartbeat:
-		if !g.reachable(s, now) {
 			g.generation++
 		}
+	case topicHeartbeat:
 		s.heard = now
 	}
 }
@@ -237,6 +237,16 @@
 	return candidates[g.random.Intn(len(candidates))], true
 }
 
+// watchZones counts a new generation when a zone becomes reachable or ceases to be.
+func (g *Group) watchZones(now time.Time) {
+	for _, s := range g.zones.states {
+		if lapsed := !g.reachable(s, now); lapsed != s.lapsed {
+			s.lapsed = lapsed
+			g.generation++
+		}
+	}
+}
+
 // reachable reports whether a heartbeat of the zone arrived within the timeout.
 func (g *Group) reachable(s *zoneState, now time.Time) bool {
 	return now.Sub(s.heard) < g.settings.ZoneTimeout
--- a/trial/capacity/membership.go
+++ b/trial/capacity/membership.go
@@ -222,12 +222,7 @@
 		receive(g, member.Message{Kind: member.Entries, Zone: "zone-1", From: newMember(1), Members: []member.Member{newMember(i + 1)}}, now)
 	}
 	for i := range summaries {
-		r := member.Rumour{
-			Topic: "service-summary", Version: incarnationStart,
-			Key:     fmt.Sprintf("zone-%d/%s", 2+i%8, serviceName(i/8)),
-			Payload: newSummary(i),
-		}
-		receive(g, member.Message{Kind: member.Entries, Zone: "zone-2", From: newMember(1), Rumours: []member.Rumour{r}}, now)
+		receive(g, member.Message{Kind: member.Entries, Zone: "zone-2", From: newMember(1), Rumours: []member.Rumour{newSummaryRumour(i)}}, now)
 	}
 	g.Tick(now)
 	used := heap() - before
@@ -260,6 +255,15 @@
 // address returns an address of the usual length.
 func address(i int) string { return fmt.Sprintf("10.%d.%d.%d:7400", i>>16&255, i>>8&255, i&255) }
 
+// newSummaryRumour returns the rumour of a service summary of one of eight zones.
+func newSummaryRumour(i int) member.Rumour {
+	return member.Rumour{
+		Topic: "service-summary", Version: incarnationStart,
+		Key:     fmt.Sprintf("zone-%d/%s", 2+i%8, serviceName(i/8)),
+		Payload: newSummary(i),
+	}
+}
+
 // newSummary returns the encoding of a service summary with three contacts.
 func newSummary(i int) []byte {
 	type value struct {
--- a/trial/capacity/table.go
+++ b/trial/capacity/table.go
@@ -80,6 +80,13 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// allocations returns the bytes allocated since the process started.
+func allocations() float64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.TotalAlloc)
+}
+
 // heap returns the live heap in bytes after a collection.
 func heap() float64 {
 	runtime.GC()
--- a/trial/capacity/transport.go
+++ b/trial/capacity/transport.go
@@ -30,6 +30,7 @@
 		{Name: "heap bytes of the open connections, both ends", Per: "connection"},
 		{Name: "bytes in one second on open connections without calls", Per: "connection"},
 		{Name: "processor microseconds of calls on open connections, both ends", Per: "call"},
+		{Name: "bytes of calls on open connections, both directions", Per: "call"},
 		{Name: "processor microseconds of sealed datagrams, both ends", Per: "datagram"},
 	}
 	for _, count := range []int{10, 20, 40} {
@@ -126,6 +127,7 @@
 	points = append(points, Point{Size: size, Value: float64(b.bytes.Load() - before)})
 
 	const rounds = 50
+	before = b.bytes.Load()
 	used = processorTime()
 	for range rounds {
 		if err := b.call(); err != nil {
@@ -133,7 +135,8 @@
 		}
 	}
 	used = processorTime() - used
-	points = append(points, Point{Size: size * rounds, Value: float64(used.Microseconds())})
+	points = append(points, Point{Size: size * rounds, Value: float64(used.Microseconds())},
+		Point{Size: size * rounds, Value: float64(b.bytes.Load() - before)})
 	used, err = b.datagrams(rounds)
 	if err != nil {
 		return nil, err
--- a/trial/cmd/trial-capacity/main.go
+++ b/trial/cmd/trial-capacity/main.go
@@ -33,7 +33,9 @@
 func parts() []part {
 	return []part{
 		{name: "membership", measure: capacity.Membership},
+		{name: "directory", measure: capacity.Directory},
 		{name: "transport", measure: capacity.Transport},
+		{name: "configuration", measure: capacity.Configuration},
 	}
 }
 
