Give operators their tool

bilberryvane checks and applies configurations, shows targets, gives, withdraws and lists keys, tells how hosts are, explains refusals, reports the burn and issues certificates. A change is accepted by the platform and then looked for on every host: hosts are found through the peers of a few, those that lag are named, and so are zones of the configuration from which no host answers. What show configuration prints names its version, so that a file made from an older one conflicts. Edits of keys are made again on top of changes that came first. Ruled out: applying through a node, since a change must not depend on one host; asking the platform for the list of hosts, which tells nothing of what they hold.

Shown to fail: without repeated edits TestKeysAreGivenAndWithdrawnWhileOthersChange is red; without the base version in the file TestOperatorAppliesConfigurations is red.

--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -20,9 +20,14 @@
 	StatusPath   = "/operator/status"
 	RefusalsPath = "/operator/refusals/"
 	BurnPath     = "/operator/burn"
-	MetricsPath  = "/debug/vars"
+	// ConfigurationPath holds the configuration in force at the node.
+	ConfigurationPath = "/operator/configuration"
+	MetricsPath       = "/debug/vars"
 )
 
+// WithoutPeers is the query by which a status comes without the peers.
+const WithoutPeers = "peers=none"
+
 // readTimeout bounds the time in which a request must be sent whole.
 const readTimeout = 10 * time.Second
 
@@ -42,12 +47,21 @@
 
 // A Peer is another node as this one sees it.
 type Peer struct {
-	Host    string `json:"host"`
-	Zone    string `json:"zone"`
+	Host string `json:"host"`
+	Zone string `json:"zone"`
+	// Address is the peer's address for other nodes.
+	Address string `json:"address"`
 	Service string `json:"service,omitempty"`
 	Leaving bool   `json:"leaving"`
 }
 
+// A Configuration is a version of the configuration as it was applied. It holds
+// the hashes of keys, but no key.
+type Configuration struct {
+	Version uint64 `json:"version"`
+	Content string `json:"content"`
+}
+
 // An Explanation tells why a request was refused.
 type Explanation struct {
 	refusal.Refusal
@@ -60,6 +74,8 @@
 	Status() Status
 	Explain(requestID string) (refusal.Refusal, bool)
 	Burn() any
+	// Configuration returns the version in force; the zero one if there is none.
+	Configuration() Configuration
 	Metrics() string
 }
 
@@ -105,9 +121,11 @@
 	case !ctx.IsGet():
 		ctx.Error("only GET is allowed", fasthttp.StatusMethodNotAllowed)
 	case path == StatusPath:
-		writeJSON(ctx, s.node.Status())
+		s.status(ctx)
 	case path == BurnPath:
 		writeJSON(ctx, s.node.Burn())
+	case path == ConfigurationPath:
+		writeJSON(ctx, s.node.Configuration())
 	case path == MetricsPath:
 		ctx.SetContentType("application/json")
 		ctx.SetBodyString(s.node.Metrics())
@@ -118,6 +136,14 @@
 	}
 }
 
+func (s *Server) status(ctx *fasthttp.RequestCtx) {
+	status := s.node.Status()
+	if string(ctx.URI().QueryString()) == WithoutPeers {
+		status.Peers = nil
+	}
+	writeJSON(ctx, status)
+}
+
 func (s *Server) explain(ctx *fasthttp.RequestCtx, requestID string) {
 	r, ok := s.node.Explain(requestID)
 	if !ok {
--- /dev/null
+++ b/internal/process/console/exit.go
@@ -0,0 +1,65 @@
+package console
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
+	"github.com/bilberryvane/bilberryvane/internal/version/configuration"
+	"github.com/bilberryvane/bilberryvane/internal/version/document"
+)
+
+// The exit codes of the tool, as docs/OPERATORS.md lists them.
+const (
+	ExitDone = 0
+	// ExitFailed is for failures that no other code names.
+	ExitFailed = 1
+	// ExitBadInput means that the input is faulty and nothing was applied.
+	ExitBadInput = 2
+	// ExitConflict means that another change came first and nothing was applied.
+	ExitConflict = 3
+	// ExitLagging means that the change is accepted and hosts still lag.
+	ExitLagging = 4
+	// ExitUnreachable means that the platform or the hosts can't be reached and
+	// nothing was applied.
+	ExitUnreachable = 5
+	// ExitUnsettled means that the change may have been accepted.
+	ExitUnsettled = 6
+	// ExitNotFound means that nothing was found.
+	ExitNotFound = 7
+)
+
+// The errors of commands that have exit codes of their own.
+var (
+	errBadInput    = eris.New("bad input")
+	errLagging     = eris.New("the change is accepted, but not yet in force on every host")
+	errUnreachable = eris.New("no host could be reached")
+	errNotFound    = eris.New("nothing found")
+)
+
+// ExitCode returns the exit code for an error of Run.
+func ExitCode(err error) int {
+	var faults document.Faults
+	var conflict *distribution.ConflictError
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &faults), errors.Is(err, errBadInput), errors.Is(err, configuration.ErrKeyExists),
+		errors.Is(err, configuration.ErrNoKey), errors.Is(err, configuration.ErrNoAccount):
+		return ExitBadInput
+	case errors.As(err, &conflict), errors.Is(err, platform.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, errLagging):
+		return ExitLagging
+	case errors.Is(err, platform.ErrUnsettled):
+		return ExitUnsettled
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, errUnreachable):
+		return ExitUnreachable
+	case errors.Is(err, errNotFound):
+		return ExitNotFound
+	default:
+		return ExitFailed
+	}
+}
--- a/internal/process/distribution/follower.go
+++ b/internal/process/distribution/follower.go
@@ -155,6 +155,13 @@
 	return s, s.Version() > 0
 }
 
+// Content returns the head and the content of the version in force. The content
+// must not be changed.
+func (f *Follower) Content() (Head, []byte) {
+	held := f.held.Load()
+	return held.head, held.content
+}
+
 // KeysUsable reports whether keys may be accepted: a node that has been cut off
 // for longer than its bound can't know which keys were withdrawn since.
 func (f *Follower) KeysUsable() bool {
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		status.Peers = append(status.Peers, operator.Peer{
-			Host: d.Host, Zone: d.Zone, Service: d.Service, Leaving: d.Leaving,
+			Host: d.Host, Zone: d.Zone, Address: d.Address, Service: d.Service, Leaving: d.Leaving,
 		})
 	}
 	return status
@@ -34,5 +34,14 @@
 // Burn returns how far the targets are met.
 func (n *Node) Burn() any { return n.burn.Report() }
 
+// Configuration returns the version in force as it was applied.
+func (n *Node) Configuration() operator.Configuration {
+	if n.follower == nil {
+		return operator.Configuration{}
+	}
+	head, content := n.follower.Content()
+	return operator.Configuration{Version: head.Version, Content: string(content)}
+}
+
 // Metrics returns the node's metrics as JSON.
 func (n *Node) Metrics() string { return n.metrics.String() }
