--- a/internal/process/console/arguments.go
+++ b/internal/process/console/arguments.go
@@ -4,6 +4,7 @@
 package console
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -30,9 +31,11 @@
 
 // Epilogue lists the exit codes.
 func (Arguments) Epilogue() string {
-	return "Exit codes: 0 done, 1 failed, 2 bad input and nothing applied, 3 conflict with another change, " +
-		"4 accepted but not yet in force on every host, 5 platform or hosts out of reach and nothing applied, " +
-		"6 not known whether the change was accepted, 7 nothing found."
+	text := "Exit codes:"
+	for code, about := range exitCodes {
+		text += fmt.Sprintf("\n  %d  %s", code, about)
+	}
+	return text
 }
 
 // CheckArguments are those of check.
--- a/internal/process/console/console_test.go
+++ b/internal/process/console/console_test.go
@@ -299,6 +299,15 @@
 	return listener.Addr().String()
 }
 
+func TestPageMatchesSettingsAndExitCodes(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/OPERATORS.md")
+	is.NoErr(err)
+	settings, exits := console.Document()
+	is.True(strings.Contains(string(page), settings)) // docs/OPERATORS.md holds the table of settings
+	is.True(strings.Contains(string(page), exits))    // and that of exit codes
+}
+
 func TestAuthorityIssuesCertificates(t *testing.T) {
 	is := is.New(t)
 	b := &bench{t: t}
--- a/internal/process/console/exit.go
+++ b/internal/process/console/exit.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -31,6 +33,33 @@
 	ExitNotFound = 7
 )
 
+// exitCodes explains the exit codes in their order.
+var exitCodes = []string{
+	ExitDone:        "done",
+	ExitFailed:      "failed for a cause that no other code names",
+	ExitBadInput:    "bad input; nothing was applied",
+	ExitConflict:    "another change came first; nothing was applied, and the message names the version in force",
+	ExitLagging:     "accepted, but not yet known to be in force on every host; the message names hosts and availability zones",
+	ExitUnreachable: "the platform or the hosts can't be reached; nothing was applied",
+	ExitUnsettled:   "not known whether the change was accepted, since the platform's answers were lost; run the command again",
+	ExitNotFound:    "nothing was found",
+}
+
+// Document returns the tool's settings and exit codes as parts of the page
+// docs/OPERATORS.md, which a test holds against them.
+func Document() (settings, exits string) {
+	var s, e strings.Builder
+	s.WriteString("| section | key | default | meaning |\n| --- | --- | --- | --- |\n")
+	for _, k := range settingsKeys {
+		fmt.Fprintf(&s, "| `%s` | `%s` | %s | %s |\n", k.section, k.key, k.standard, k.about)
+	}
+	e.WriteString("| code | meaning |\n| --- | --- |\n")
+	for code, about := range exitCodes {
+		fmt.Fprintf(&e, "| %d | %s |\n", code, about)
+	}
+	return s.String(), e.String()
+}
+
 // The errors of commands that have exit codes of their own.
 var (
 	errBadInput    = eris.New("bad input")
--- a/internal/process/distribution/follower_test.go
+++ b/internal/process/distribution/follower_test.go
@@ -37,7 +37,7 @@
 }
 
 // start runs a stand-in of the platform and returns it with a registry on it.
-func start(t *testing.T) (*standin.Server, *distribution.Registry) {
+func start(t testing.TB) (*standin.Server, *distribution.Registry) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/process/distribution/tracker.go
+++ b/internal/process/distribution/tracker.go
@@ -14,7 +14,7 @@
 	// PollInterval is how often a poller reads the head.
 	PollInterval = time.Second
 	// AskInterval is how often a node that knows of nothing newer asks a peer.
-	AskInterval = 2 * time.Second
+	AskInterval = 4 * time.Second
 	// BehindInterval is how often a node that knows of something newer asks.
 	BehindInterval = 100 * time.Millisecond
 	// AsksBeforeStore is how many peers a node that is no poller asks for a newer
@@ -34,7 +34,7 @@
 	StartPatience = 2 * time.Second
 	// Partners is the number of peers that a node exchanges versions with. They
 	// stay the same while the membership does, so that few connections serve.
-	Partners = 4
+	Partners = 3
 	// farPartners is how many of them are in other zones, if there are any.
 	farPartners = 1
 	// maxAskers bounds the peers that are told of a version because they asked
