Describe the keys of documents in one way

Three packages listed their INI keys for checking and for their pages, each by itself; document.Values does it for all.

--- a/internal/process/console/exit.go
+++ b/internal/process/console/exit.go
@@ -48,16 +48,12 @@
 // Document returns the tool's settings and exit codes as parts of the page
 // docs/OPERATORS.md, which a test holds against them.
 func Document() (settings, exits string) {
-	var s, e strings.Builder
-	s.WriteString("| section | key | default | meaning |\n| --- | --- | --- | --- |\n")
-	for _, k := range settingsKeys {
-		fmt.Fprintf(&s, "| `%s` | `%s` | %s | %s |\n", k.section, k.key, k.standard, k.about)
-	}
+	var e strings.Builder
 	e.WriteString("| code | meaning |\n| --- | --- |\n")
 	for code, about := range exitCodes {
 		fmt.Fprintf(&e, "| %d | %s |\n", code, about)
 	}
-	return s.String(), e.String()
+	return settingsValues.Page(), e.String()
 }
 
 // The errors of commands that have exit codes of their own.
--- a/internal/process/console/settings.go
+++ b/internal/process/console/settings.go
@@ -20,34 +20,17 @@
 )
 
 // The sections and keys of the tool's settings, as docs/OPERATORS.md lists them.
-var settingsKeys = []settingsKey{
-	{"platform", "table-endpoint", mustBeGiven, "The URL of the table service."},
-	{"platform", "table", "`bilberryvane`", "The name of the table."},
-	{"platform", "object-endpoint", mustBeGiven, "The URL of the object store."},
-	{"platform", "bucket", "`bilberryvane`", "The name of the bucket."},
-	{"platform", "region", "`platform-1`", "The platform's name of the region."},
-	{"platform", "access-key", mustBeGiven, "The access key for both services."},
-	{"platform", "secret-key", mustBeGiven, "The secret key for both services."},
-	{"platform", "timeout", "`2s`", "How long one call of the platform or of a host may take, from 1ms to 1m."},
-	{"nodes", "operators", mustBeGiven, "Operator addresses of some hosts in each availability zone, with commas between them. They tell of the other hosts, whose operator port is taken to be the same."},
-	{"operator", "name", "the user's name", "The name under which changes are made."},
-}
-
-// mustBeGiven stands in the page where a key has no default.
-const mustBeGiven = "must be given"
-
-// A settingsKey describes one key of the settings.
-type settingsKey struct{ section, key, standard, about string }
-
-// knownKeys returns the keys of a section.
-func knownKeys(section string) []string {
-	var keys []string
-	for _, k := range settingsKeys {
-		if k.section == section {
-			keys = append(keys, k.key)
-		}
-	}
-	return keys
+var settingsValues = document.Values{
+	{Section: "platform", Key: "table-endpoint", Required: true, About: "The URL of the table service."},
+	{Section: "platform", Key: "table", Default: "bilberryvane", About: "The name of the table."},
+	{Section: "platform", Key: "object-endpoint", Required: true, About: "The URL of the object store."},
+	{Section: "platform", Key: "bucket", Default: "bilberryvane", About: "The name of the bucket."},
+	{Section: "platform", Key: "region", Default: "platform-1", About: "The platform's name of the region."},
+	{Section: "platform", Key: "access-key", Required: true, About: "The access key for both services."},
+	{Section: "platform", Key: "secret-key", Required: true, About: "The secret key for both services."},
+	{Section: "platform", Key: "timeout", Default: "2s", About: "How long one call of the platform or of a host may take, from 1ms to 1m."},
+	{Section: "nodes", Key: "operators", Required: true, About: "Operator addresses of some hosts in each availability zone, with commas between them. They tell of the other hosts, whose operator port is taken to be the same."},
+	{Section: "operator", Key: "name", About: "The name under which changes are made; without it the name of the user."},
 }
 
 // Settings are the settings of the tool.
@@ -74,7 +57,7 @@
 	s := Settings{Timeout: defaultTimeout, Operator: os.Getenv("USER")}
 	s.Platform.TableName, s.Platform.Bucket, s.Platform.Region = "bilberryvane", "bilberryvane", "platform-1"
 	for _, section := range d.Sections() {
-		known := knownKeys(section.Kind())
+		known := settingsValues.KeysOf(section.Kind())
 		if len(known) == 0 || section.Name() != "" {
 			d.Report(section.Line(), "unknown section %q", section.Kind())
 			continue
--- a/internal/process/distribution/rollout_bench_test.go
+++ b/internal/process/distribution/rollout_bench_test.go
@@ -97,7 +97,11 @@
 	var all []distribution.Peer
 	for i := range size {
 		w := newWire(b, authority, identity.Node{Host: fmt.Sprintf("host-%d", i), Zone: fmt.Sprintf("zone-%d", i%3)}, &sent)
-		defer w.endpoint.Close()
+		b.Cleanup(func() {
+			if err := w.endpoint.Close(); err != nil {
+				b.Error(err)
+			}
+		})
 		w.others = func() []distribution.Peer { return all }
 		w.Follower = distribution.NewFollower(w.self, distribution.Parts{
 			Source: registry, Caller: w, Directory: w, Gossip: w, Pool: pool, Clock: clock.System{},
--- a/internal/process/settings/document.go
+++ b/internal/process/settings/document.go
@@ -1,24 +1,18 @@
 package settings
 
-import (
-	"fmt"
-	"strings"
-)
+import "github.com/bilberryvane/bilberryvane/internal/version/document"
 
 // Document returns the settings as a part of the page docs/SETTINGS.md, which a
 // test holds against it.
-func Document() string {
-	var page strings.Builder
-	page.WriteString("| section | key | default | meaning |\n| --- | --- | --- | --- |\n")
+func Document() string { return values().Page() }
+
+// values describe all options.
+func values() document.Values {
+	all := make(document.Values, 0, len(options))
 	for _, o := range options {
-		standard := "none"
-		if o.required {
-			standard = "must be given"
-		}
-		if o.standard != "" {
-			standard = "`" + o.standard + "`"
-		}
-		fmt.Fprintf(&page, "| `%s` | `%s` | %s | %s |\n", o.section, o.key, standard, o.about)
+		all = append(all, document.Value{
+			Section: o.section, Key: o.key, Required: o.required, Default: o.standard, About: o.about,
+		})
 	}
-	return page.String()
+	return all
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -115,34 +115,15 @@
 	read         func(*Settings, *document.Section, string)
 }
 
-// An Option describes one key of the settings for documentation.
-type Option struct {
-	Section, Key string
-	Required     bool
-	// Default is the value that holds when the key is missing.
-	Default string
-	About   string
-}
-
-// Options returns all keys in the order of the documentation.
-func Options() []Option {
-	all := make([]Option, 0, len(options))
-	for _, o := range options {
-		all = append(all, Option{
-			Section: o.section, Key: o.key, Required: o.required, Default: o.standard, About: o.about,
-		})
-	}
-	return all
-}
-
 // Parse reads and checks settings whole. The error is document.Faults and lists
 // every fault with file, line and reason.
 func Parse(name string, content []byte) (Settings, error) {
 	d := document.Read(name, content)
 	d.Unique()
 	sections := map[string]*document.Section{}
+	all := values()
 	for _, s := range d.Sections() {
-		known := keysOf(s.Kind())
+		known := all.KeysOf(s.Kind())
 		if len(known) == 0 || s.Name() != "" {
 			d.Report(s.Line(), "unknown section %q", s.Kind())
 			continue
@@ -177,16 +158,6 @@
 	o.read(read, s, o.key)
 }
 
-func keysOf(section string) []string {
-	var keys []string
-	for _, o := range options {
-		if o.section == section {
-			keys = append(keys, o.key)
-		}
-	}
-	return keys
-}
-
 // readAddress reads an IP address with a port.
 func readAddress(s *document.Section, key, fallback string) string {
 	text := s.Text(key, fallback)
--- a/internal/version/configuration/parse.go
+++ b/internal/version/configuration/parse.go
@@ -106,7 +106,7 @@
 }
 
 func (p *parser) readSection(s *document.Section) {
-	known := keysOf(s.Kind())
+	known := values.KeysOf(s.Kind())
 	if len(known) == 0 {
 		p.document.Report(s.Line(), "unknown section %q; known are service, class, account, key, zone", s.Kind())
 		return
