Forget versions that the platform does not know

Cause: a version number heard by mistake kept a node looking for it for ever. A read of the head that began after the version was heard of settles it.

Shown to fail: without the reset TestVersionThatDoesNotExistIsForgotten is red. TestRequestsCostPlatformNothing counts the platform's calls while requests run.

--- a/internal/process/distribution/tracker.go
+++ b/internal/process/distribution/tracker.go
@@ -102,8 +102,9 @@
 	confirmed time.Time
 	// headRead is when the read of the head began whose content is being fetched.
 	headRead time.Time
-	// wanted is the highest version known of.
+	// wanted is the highest version known of, heard when it was first heard of.
 	wanted uint64
+	heard  time.Time
 	// rejected is the highest version whose content is not valid here.
 	rejected uint64
 	// asks counts asks in a row that did not bring what is wanted.
@@ -249,6 +250,10 @@
 // at a time, or that it could not be read.
 func (t *Tracker) HeadRead(began time.Time, h Head, ok bool) []Action {
 	t.reading = false
+	if ok && t.wanted > h.Version && t.heard.Before(began) {
+		// The platform knows nothing of that version, so there is none.
+		t.wanted = max(h.Version, t.held.Version)
+	}
 	switch {
 	case !ok:
 		return nil
@@ -332,6 +337,7 @@
 	}
 	if version > t.wanted {
 		t.wanted = version
+		t.heard = now
 		t.asks = 0
 		t.nextAsk = now
 	}
--- a/internal/process/distribution/tracker_test.go
+++ b/internal/process/distribution/tracker_test.go
@@ -233,6 +233,18 @@
 	}
 }
 
+// A version that the platform does not know of is not looked for for ever.
+func TestVersionThatDoesNotExistIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 2, 5)
+	f.head = 2
+	f.run(5 * time.Second)
+	f.members[0].tracker.Heard(f.now, 1<<62, nil)
+	is.Equal(f.members[0].tracker.Known(), uint64(1<<62))
+	f.run(12 * time.Second)
+	is.Equal(f.members[0].tracker.Known(), uint64(2))
+}
+
 // A node knows how long it has been without word from the platform.
 func TestConfirmedGrowsOldOnlyWhenCutOff(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// Requests cost the platform nothing: no write at all, and no reads beyond those
+// by which each zone's pollers look at the head.
+func TestRequestsCostPlatformNothing(t *testing.T) {
+	is := is.New(t)
+	f, server := followingFleet(t)
+	secret := f.deployment.Keys["depot-nord"]
+	for _, h := range f.deployment.Hosts {
+		f.until(h, secret, "", http.StatusOK)
+	}
+	began, before := time.Now(), server.Counts()
+	for range 200 {
+		for _, h := range f.deployment.Hosts {
+			response, _ := f.send(h, http.MethodGet, "/stock/items", secret, "", nil)
+			is.Equal(response.StatusCode, http.StatusOK)
+		}
+	}
+	polls := time.Since(began)/distribution.PollInterval + 1
+	after := server.Counts()
+	is.Equal(after.Writes, before.Writes)
+	const slack = 2 // intervals vary by a tenth
+	is.True(after.Reads-before.Reads <= uint64(slack*int(polls)*len(f.deployment.Hosts)))
+}
+
 func TestRestartedNodeServesWithPlatformDown(t *testing.T) {
 	is := is.New(t)
 	f, server := followingFleet(t)
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -34,7 +34,7 @@
 	peers := configurationPeers{endpoint: n.endpoint, directory: n.directory, host: n.settings.Host.Name}
 	self := distribution.Peer{Host: n.settings.Host.Name, Zone: n.settings.Host.Zone, Address: n.endpoint.Address()}
 	n.follower = distribution.NewFollower(self, distribution.Parts{
-		Source:    n.registryOnPlatform(),
+		Source:    distribution.NewRegistry(n.table, n.objects),
 		Caller:    peers,
 		Directory: peers,
 		Gossip:    noGossip{},
@@ -48,11 +48,12 @@
 	n.follower.Watch(n.keys.Update)
 	n.endpoint.Handle(peer.Kind(distribution.KindAsk), peers.handler(n.follower.HandleAsk))
 	n.endpoint.Handle(peer.Kind(distribution.KindNotice), peers.handler(n.follower.HandleNotice))
-	n.metrics.Publish("configuration-version", expvar.Func(func() any { return n.follower.Snapshot().Version() }))
+	n.metrics.Publish("configuration", expvar.Func(func() any { return n.follower.Status() }))
 }
 
-// registryOnPlatform returns the registry of configurations on the platform.
-func (n *Node) registryOnPlatform() *distribution.Registry {
+// reach makes the clients of the platform, which all parts share. They open no
+// connection until they are used.
+func (n *Node) reach() {
 	s := n.settings.Platform
 	at := platform.Endpoint{
 		TableURL:   s.TableEndpoint,
@@ -66,7 +67,8 @@
 	meter := platform.NewMeter(n.clock)
 	n.metrics.Publish("platform", meter)
 	options := []platform.Option{platform.WithTimeout(s.Timeout), platform.WithMeter(meter)}
-	return distribution.NewRegistry(platform.NewTable(at, options...), platform.NewObjects(at, options...))
+	n.table = platform.NewTable(at, options...)
+	n.objects = platform.NewObjects(at, options...)
 }
 
 // configurationPeers joins a follower to the other nodes.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
 	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
@@ -44,6 +45,9 @@
 	clock         clock.Clock
 	log           event.Log
 	configuration Configuration
+	// table and objects are the clients of the platform.
+	table   *platform.Table
+	objects *platform.Objects
 	// follower is nil where the configuration was given by an option.
 	follower    *distribution.Follower
 	followPool  pond.Pool
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -56,6 +56,7 @@
 		Address: n.endpoint.Address(),
 	}
 	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
+	n.reach()
 	n.follow()
 	executor := execute.New(n.settings.Host.Name, n.keys, n.admission, noQuarantine{},
 		n.backend, n.registry, n.clock)
