Merge the membership of nodes

Two tests met the merge. TestRequestsCostPlatformNothing counted the announcement that each node now writes once at its start: it waits for exactly these first and then still allows no write at all. TestLaggingHostsAreNamed allowed 1 s for a change to be in force, less than the 5 s that are promised; it allows 5 s, and still names no other host than the silent one.

--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -173,6 +173,7 @@
 	for _, h := range f.deployment.Hosts {
 		f.until(h, secret, "", http.StatusOK)
 	}
+	f.untilWrites(server, configurationWrites+len(f.deployment.Hosts))
 	began, before := time.Now(), server.Counts()
 	for range 200 {
 		for _, h := range f.deployment.Hosts {
@@ -187,6 +188,24 @@
 	is.True(after.Reads-before.Reads <= uint64(slack*int(polls)*len(f.deployment.Hosts)))
 }
 
+// configurationWrites is what the first configuration costs: its content and the head.
+const configurationWrites = 2
+
+// untilWrites waits until the platform has taken a number of writes: here those of
+// the first configuration and one announcement for each node's start.
+func (f *fleet) untilWrites(server *platform.Server, want int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		writes := server.Counts().Writes
+		if writes == uint64(want) {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("the platform took %d writes, want %d", writes, want)
+		}
+	}
+}
+
 func TestRestartedNodeServesWithPlatformDown(t *testing.T) {
 	is := is.New(t)
 	f, server := followingFleet(t)
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -37,7 +37,7 @@
 		Source:    distribution.NewRegistry(n.table, n.objects),
 		Caller:    peers,
 		Directory: peers,
-		Gossip:    noGossip{},
+		Gossip:    n.membership,
 		Pool:      n.followPool,
 		Clock:     n.clock,
 		Log:       n.log,
@@ -108,12 +108,3 @@
 		return handle(ctx, sender, body)
 	}
 }
-
-// noGossip spreads no rumours.
-type noGossip struct{}
-
-// Publish spreads nothing.
-func (noGossip) Publish(string, string, []byte) {}
-
-// Subscribe hears nothing.
-func (noGossip) Subscribe(string, func(string, []byte)) {}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
 	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
@@ -57,6 +58,7 @@
 	registry    *registry.Registry
 	backend     *backend.Client
 	admission   *admitter.Fixed
+	membership  *membership.Membership
 	directory   *directory.Directory
 	refusals    *refusals.Log
 	metrics     *metrics.Metrics
@@ -118,6 +120,10 @@
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
+	if err := n.join(); err != nil {
+		_ = n.endpoint.Close() // The first error is returned.
+		return nil, err
+	}
 	if err := n.listen(n.wire()); err != nil {
 		_ = n.endpoint.Close() // The first error is returned.
 		return nil, err
@@ -131,7 +137,7 @@
 
 // run starts the node's background tasks.
 func (n *Node) run(ctx context.Context) {
-	n.tasks.Go(func() { n.directory.Run(ctx) })
+	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
@@ -172,6 +178,7 @@
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
+	n.membership.Leave()
 	n.cancel()
 	n.tasks.Wait()
 	if err := n.local.Shutdown(ctx); err != nil {
