--- a/shard/holder.go
+++ b/shard/holder.go
@@ -92,6 +92,16 @@
 // Records returns the newest version of every key, in the order of the keys.
 func (h *Holder) Records() []Record { return present(h.records) }
 
+// Committed reports whether a version that the holder knows is committed. Versions
+// of earlier epochs are, since the epoch began with them at every member.
+func (h *Holder) Committed(s Stamp) bool {
+	if s.Epoch < h.row.Epoch {
+		return true
+	}
+	p, ok := h.pending[s.Sequence]
+	return !ok || p.committed
+}
+
 // Pending returns the number of records that some member has not yet stored.
 func (h *Holder) Pending() int { return len(h.pending) }
 
