--- a/rate/asking.go
+++ b/rate/asking.go
@@ -13,11 +13,15 @@
 	asks := map[string][]Ask{}
 	for _, account := range l.Accounts() {
 		p := l.positions[account]
-		for _, receiver := range l.router.Receivers(account) {
+		receivers := l.router.Receivers(account)
+		for i, receiver := range receivers {
 			if now.Sub(l.sent[receiver]) < l.settings.pace {
 				continue
 			}
 			want := p.want(now, l.settings, receiver)
+			if i > 0 && !p.bucket.isHolder() {
+				want = p.fallback(now, l.settings, receivers[0], want)
+			}
 			if p.due(now, l.settings, receiver, want) {
 				asks[receiver] = append(asks[receiver], p.bucket.Ask(now, account, receiver, want))
 			}
@@ -46,12 +50,21 @@
 		return Want{Need: need}
 	}
 	ahead := Quantity(0)
-	if demand > 0 {
-		ahead = max(0, demand.accrued(2*s.cycle)+Token-level)
+	if soon := s.soon(demand); soon > 0 {
+		ahead = max(0, soon/2+Token-level)
 	}
 	return Want{Demand: demand, Need: need, Ahead: ahead}
 }
 
+// fallback returns what an entry node or sub-holder would like from another zone.
+func (p *position) fallback(now time.Time, s settings, preferred string, want Want) Want {
+	first, ok := p.bucket.sources[preferred]
+	if !ok || !first.failing(now, s) {
+		return Want{Loan: true}
+	}
+	return Want{Demand: want.Demand, Need: want.Need, Loan: true}
+}
+
 // loanWant returns what a holder would like another zone to lend: what its own
 // demand, with a quarter to spare, exceeds its own share and other loans by.
 func (b *Bucket) loanWant(now time.Time, demand, need Quantity, lender string) Want {
--- a/rate/bucket.go
+++ b/rate/bucket.go
@@ -49,6 +49,8 @@
 	sums totals
 	// expiry is when the next reservation may end; zero if there is none.
 	expiry time.Time
+	// mayAsk says that there are buckets above to ask for more.
+	mayAsk bool
 	// highest is the largest sequence that any Ask has used.
 	highest uint64
 }
--- a/rate/demand.go
+++ b/rate/demand.go
@@ -9,7 +9,7 @@
 // average follows rises at once and falls slowly.
 const (
 	quickAverage  = 200 * time.Millisecond
-	steadyAverage = time.Second
+	steadyAverage = 500 * time.Millisecond
 )
 
 // idleDemand is the demand in requests a second below which an account counts
--- a/rate/ledger.go
+++ b/rate/ledger.go
@@ -6,8 +6,10 @@
 )
 
 // A Router names the receivers that grants of an account may be asked of: the
-// holder or a sub-holder for an entry node, the holder for a sub-holder, the
-// other zones' holders for a holder.
+// own zone's sub-holder or holder for an entry node, the holder for a sub-holder.
+// Further receivers are other zones' holders; an entry node or sub-holder turns
+// to them only while the first one fails. A holder's receivers are the other
+// zones' holders.
 type Router interface {
 	// Receivers returns the receivers for an account, in order of preference.
 	Receivers(account string) []string
@@ -166,7 +168,7 @@
 		return Verdict{Decision: Taken}
 	}
 	expected := p.expectedWait(now)
-	if expected > patience || patience <= 0 {
+	if patience <= 0 || expected > patience && !l.alternatives(now, account, p) {
 		return p.refuse(now, l.settings, 0)
 	}
 	l.ticket++
@@ -236,6 +238,7 @@
 		b = newHolderBucket(l.settings, l.tenure, share)
 	}
 	b.highest = l.highest
+	b.mayAsk = len(l.router.Receivers(account)) > 0
 	p := &position{bucket: b}
 	l.positions[account] = p
 	return p, true
@@ -254,6 +257,17 @@
 	return v
 }
 
+// alternatives reports whether receivers are left that were not asked yet while
+// the first one fails.
+func (l *Ledger) alternatives(now time.Time, account string, p *position) bool {
+	receivers := l.router.Receivers(account)
+	if p.bucket.isHolder() || len(p.bucket.sources) >= len(receivers) || len(receivers) == 0 {
+		return false
+	}
+	first, ok := p.bucket.sources[receivers[0]]
+	return ok && first.failing(now, l.settings)
+}
+
 // expectedWait estimates how long a further request would wait. It is zero as
 // long as no giver said that it is short of tokens.
 func (p *position) expectedWait(now time.Time) time.Duration {
@@ -261,7 +275,10 @@
 	if retryAfter <= 0 {
 		return 0
 	}
-	missing := Token*Quantity(len(p.waiters)+1) - p.bucket.Level(now)
+	ahead := Quantity(len(p.waiters) + 1)
 	local := p.bucket.Limit(now).Rate
-	return max(retryAfter, local.timeFor(missing, longestRetryAfter))
+	if local == 0 {
+		return retryAfter * time.Duration(ahead)
+	}
+	return local.timeFor(Token*ahead-p.bucket.Level(now), longestRetryAfter)
 }
--- a/rate/offer.go
+++ b/rate/offer.go
@@ -14,6 +14,9 @@
 	lendEighths = 7
 )
 
+// smallestFilling is the smallest burst with which a rate is granted.
+const smallestFilling = 2 * Token
+
 // longestRetryAfter bounds the time that a refused request is told to wait.
 const longestRetryAfter = 5 * time.Second
 
@@ -33,32 +36,43 @@
 		return o.lend()
 	}
 	demand := max(o.bucket.Demand(), 1)
-	fairRate := o.usable.Rate.share(o.ask.Demand, demand)
-	fairBurst := o.usable.Burst.share(o.ask.Demand, demand)
-	granted := min(o.ask.Demand, fairRate, o.free.Rate)
-	granted = granted.share(rateEighths, eighths)
-	ahead := min(o.ask.Ahead, min(fairBurst, o.bucket.level.share(o.ask.Demand, demand)).share(burstEighths, eighths))
-	tokens := min(o.bucket.level, o.ask.Need+ahead)
-	filling := min(granted.accrued(4*o.bucket.settings.cycle), fairBurst.share(burstEighths, eighths))
-	burst := max(o.kept.Burst, min(o.kept.Burst+tokens, o.free.Burst))
-	if o.ask.Need+o.ask.Ahead > 0 || burst < filling {
-		burst = max(burst, min(filling+tokens, o.free.Burst))
+	fair := Limit{
+		Rate:  o.usable.Rate.share(o.ask.Demand, demand),
+		Burst: o.usable.Burst.share(o.ask.Demand, demand).share(burstEighths, eighths),
+	}
+	granted := min(o.ask.Demand, fair.Rate, o.free.Rate).share(rateEighths, eighths)
+	soon := o.bucket.settings.soon(granted)
+	filling := min(max(soon, smallestFilling), fair.Burst, o.free.Burst)
+	if soon == 0 || filling < smallestFilling {
+		// A rate that fills less than a few tokens would only scatter them.
+		granted = 0
+		filling = 0
 	}
+	ahead := min(o.ask.Ahead, fair.Burst, o.bucket.level.share(o.ask.Demand, demand).share(burstEighths, eighths))
+	if fair.Burst < smallestFilling {
+		ahead = 0
+	}
+	tokens := min(o.bucket.level, o.ask.Need+ahead)
+	burst := max(o.kept.Burst, filling) + tokens
 	return Limit{Rate: granted, Burst: min(burst, o.free.Burst)}, tokens
 }
 
-// lend decides on a loan to another zone: only what this zone owns and is not
-// about to need.
+// lend decides on a loan to another zone: what this zone owns and is not about
+// to need, and tokens for requests that wait there while none wait here.
 func (o offer) lend() (Limit, Quantity) {
 	local := o.bucket.Demand()
-	lent := o.bucket.sums.lent
+	others := o.bucket.sums.lent.Minus(o.kept)
 	own := o.bucket.own.limit
 	spare := max(0, own.Rate-local-local/4)
 	burst := own.Burst.share(spare, own.Rate).share(lendEighths, eighths)
-	limit := Limit{Rate: spare, Burst: burst}.Minus(lent.Minus(o.kept)).Min(o.free)
+	limit := Limit{Rate: spare, Burst: burst}.Minus(others)
 	limit.Rate = min(limit.Rate, o.ask.Demand)
-	tokens := min(o.bucket.level.share(spare, own.Rate), o.ask.Need+o.ask.Ahead)
-	return limit, tokens
+	tokens := min(o.bucket.level.share(spare, own.Rate), o.ask.Ahead)
+	if o.bucket.Unmet() == 0 {
+		tokens = min(o.bucket.level, tokens+o.ask.Need)
+	}
+	limit.Burst = max(limit.Burst, o.kept.Burst+tokens)
+	return limit.Min(o.free), tokens
 }
 
 // retryAfter estimates when the giver will have a further token to spare.
@@ -66,9 +80,8 @@
 	if o.ask.Need <= tokens {
 		return 0
 	}
-	wait := o.usable.Rate.timeFor(Token, longestRetryAfter)
-	if !o.bucket.isHolder() {
-		return min(wait, o.bucket.settings.pace)
+	if o.bucket.mayAsk && o.bucket.retryAfter() == 0 {
+		return o.bucket.settings.pace
 	}
-	return wait
+	return o.usable.Rate.timeFor(o.bucket.Unmet()+Token, longestRetryAfter)
 }
--- a/rate/settings.go
+++ b/rate/settings.go
@@ -5,13 +5,13 @@
 // Default settings of buckets and ledgers.
 const (
 	// DefaultDuration is how long a Grant lasts unless it is renewed.
-	DefaultDuration = 4 * time.Second
+	DefaultDuration = 2500 * time.Millisecond
 	// DefaultCycle is how often an account with demand is asked for.
-	DefaultCycle = 100 * time.Millisecond
+	DefaultCycle = 50 * time.Millisecond
 	// DefaultPace is the shortest time between two Requests to one receiver.
 	DefaultPace = 10 * time.Millisecond
 	// DefaultTimeout is how long an answer is awaited before the next Ask.
-	DefaultTimeout = 100 * time.Millisecond
+	DefaultTimeout = 40 * time.Millisecond
 	// DefaultDriftMargin is the part by which two clocks may differ in the
 	// length of an interval, as a divisor: one in 100.
 	DefaultDriftMargin = 100
@@ -76,3 +76,14 @@
 func (s settings) reserveTime(duration time.Duration) time.Duration {
 	return duration + duration/time.Duration(s.driftMargin)
 }
+
+// soon returns the tokens that a demand uses until a Grant can follow, or zero
+// where that is less than one: so small a demand is met on request, because
+// tokens laid ahead of it would lie about.
+func (s settings) soon(demand Quantity) Quantity {
+	tokens := demand.accrued(4 * s.cycle)
+	if tokens < Token {
+		return 0
+	}
+	return tokens
+}
--- a/rate/source.go
+++ b/rate/source.go
@@ -13,10 +13,20 @@
 	asked time.Time
 	// waiting says that the latest Ask has not been answered.
 	waiting bool
+	// unanswered counts the Asks since the last answer.
+	unanswered int
 	// retryAfter is the giver's estimate of when it will have tokens to spare.
 	retryAfter time.Duration
 }
 
+// failing reports whether the giver does not answer or has nothing for long.
+func (s *source) failing(now time.Time, t settings) bool {
+	if s.waiting && (s.unanswered > 0 || now.Sub(s.asked) >= t.timeout) {
+		return true
+	}
+	return s.retryAfter >= 10*t.cycle
+}
+
 // A Want is what a bucket would like to get from above.
 type Want struct {
 	// Demand is the expected use in tokens a second.
@@ -36,6 +46,9 @@
 	s := b.source(receiver)
 	b.highest++
 	s.sequence = b.highest
+	if s.waiting {
+		s.unanswered++
+	}
 	s.asked = now
 	s.waiting = true
 	ask := Ask{
@@ -57,7 +70,7 @@
 // given back.
 func (b *Bucket) lower(now time.Time, s *source, want Want) Quantity {
 	total := b.Limit(now).Minus(b.Reserved())
-	wanted := want.Need + want.Ahead + want.Demand.accrued(b.settings.cycle) + Token
+	wanted := want.Need + want.Ahead + b.settings.soon(want.Demand)
 	excess := min(max(0, b.level-2*wanted), s.limit.Burst)
 	b.level -= excess
 	filling := total.Rate.accrued(2 * b.settings.cycle)
@@ -75,6 +88,7 @@
 		return false
 	}
 	s.waiting = false
+	s.unanswered = 0
 	s.retryAfter = g.RetryAfter
 	until := s.asked.Add(g.Duration)
 	if !now.Before(until) {
--- a/trial/grantnet/fleet.go
+++ b/trial/grantnet/fleet.go
@@ -125,7 +125,7 @@
 // RestartEntry gives an entry node a new process without memory.
 func (f *Fleet) RestartEntry(zone, index int) {
 	node := f.Entries[zone][index]
-	receivers := routes(func() []string { return []string{f.above(zone, index)} })
+	receivers := routes(func() []string { return append([]string{f.above(zone, index)}, f.otherZones(zone)...) })
 	f.Replace(node, rate.NewLedger(f.identity(node.Name), receivers, f.plan.EntryOptions...))
 }
 
