--- a/internal/version/configuration/configuration_test.go
+++ b/internal/version/configuration/configuration_test.go
@@ -180,6 +180,18 @@
 	is.True(!strings.Contains(err.Error(), secret[:12])) // a pasted key is not repeated
 }
 
+func TestPageMatchesKeys(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), configuration.Document())) // docs/SETTINGS.md holds the table of keys
+	_, example, _ := strings.Cut(string(page), "```ini\n")
+	example, _, _ = strings.Cut(example, "```")
+	s, err := configuration.Parse("SETTINGS.md", []byte(example))
+	is.NoErr(err)
+	is.Equal(len(s.Classes()), 2)
+}
+
 // FuzzParse checks that no document crashes the parser, that each fault names a
 // line of the document, and that what is accepted keeps the stated ranges.
 func FuzzParse(f *testing.F) {
