--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -16,7 +16,6 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/membership"
-	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/entry"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
@@ -66,10 +65,11 @@
 		Zone:    n.settings.Host.Zone,
 		Address: n.endpoint.Address(),
 	}
+	n.reach()
 	n.membership = membership.New(self, membership.Parts{
 		Transport: n.endpoint,
 		Keys:      groupKeys,
-		Table:     platform.NewTable(n.platformEndpoint(), platform.WithTimeout(n.settings.Platform.Timeout)),
+		Table:     n.table,
 		Clock:     n.clock,
 		Log:       n.log,
 		Seeds:     n.settings.Peers.Seeds,
