--- a/Makefile
+++ b/Makefile
@@ -50,4 +50,4 @@
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 
 capacity: build
-	go run ./trial/cmd/trial-capacity
+	$(BIN)/trial-capacity
--- a/trial/cmd/trial-capacity/main.go
+++ b/trial/cmd/trial-capacity/main.go
@@ -36,6 +36,9 @@
 		{name: "directory", measure: capacity.Directory},
 		{name: "transport", measure: capacity.Transport},
 		{name: "configuration", measure: capacity.Configuration},
+		{name: "rates", measure: capacity.Grants},
+		{name: "shards", measure: capacity.Shards},
+		{name: "idle", measure: capacity.Idle},
 	}
 }
 
