--- /dev/null
+++ b/routing/backpressure.go
@@ -0,0 +1,187 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shedStep is the share by which a shed answer lowers what passes.
+	shedStep = 0.05
+	// shedGoal is the share of passed calls that may be shed further down; it
+	// is what keeps the pass share near the capacity.
+	shedGoal = 0.02
+	// leastPass is the smallest share that passes.
+	leastPass = 0.02
+	// probeInterval is the time after which one call of a flow passes anyhow.
+	probeInterval = 50 * time.Millisecond
+	// levelMemory is how long a reported importance level is believed.
+	levelMemory = 100 * time.Millisecond
+	// idleFlow is the time after which a flow's state is forgotten.
+	idleFlow = 30 * time.Second
+	// calmTime without pressure is taken for the end of an overload.
+	calmTime = 100 * time.Millisecond
+	// calmGrowth is the factor by which the share rises after calmTime.
+	calmGrowth = 2.0
+	// calmDelay is the queue delay below which a service counts as calm.
+	calmDelay = time.Millisecond
+)
+
+// A Pressure is the load of the tightest service below a call. It rides back in
+// answers, merged at each hop, so that the entry hears of the deepest service.
+type Pressure struct {
+	// AdmittedImportance is the lowest importance admitted everywhere below.
+	AdmittedImportance int
+	// QueueDelay is the longest wait below.
+	QueueDelay time.Duration
+	// FreeSlots is the least number of free slots below.
+	FreeSlots int
+}
+
+// Merge returns the pressure of a call that made calls with both pressures.
+func (p Pressure) Merge(o Pressure) Pressure {
+	return Pressure{
+		AdmittedImportance: max(p.AdmittedImportance, o.AdmittedImportance),
+		QueueDelay:         max(p.QueueDelay, o.QueueDelay),
+		FreeSlots:          min(p.FreeSlots, o.FreeSlots),
+	}
+}
+
+// calm reports that there is room for more at once.
+func (p Pressure) calm() bool { return p.FreeSlots > 0 && p.QueueDelay < calmDelay }
+
+// A Flow names calls that are treated alike at the entry.
+type Flow struct {
+	// Class is the class of the root request; it decides which services are called.
+	Class string
+	// Account is the client account.
+	Account string
+	// Importance is that of the class.
+	Importance int
+}
+
+// A Backpressure refuses root requests at the entry that would be shed further
+// down, before any work is spent on them. For each flow it passes a share of
+// the calls, lowered by each shed answer and raised by each other answer so
+// that about shedGoal of the passed calls are shed. An answer that reports free
+// slots raises it as fast as a shed one lowers it, and doubles it once a class
+// has been calm for calmTime, so that recovery does not wait. It refuses nothing where nothing was shed of late, and passes at
+// least one call of a flow per probeInterval.
+type Backpressure struct {
+	flows   map[Flow]*pass
+	classes map[string]state
+	swept   time.Time
+}
+
+// A state is what was last reported for a class.
+type state struct {
+	// importance is the admitted level at the time reportedAt.
+	importance int
+	reportedAt time.Time
+	// calmSince is when the reports became calm; zero if the last was not.
+	calmSince time.Time
+}
+
+// reported returns the state after another report.
+func (s state) reported(now time.Time, pressure Pressure) state {
+	if !pressure.calm() {
+		return state{importance: pressure.AdmittedImportance, reportedAt: now}
+	}
+	if s.calmSince.IsZero() {
+		s.calmSince = now
+	}
+	return state{reportedAt: now, calmSince: s.calmSince}
+}
+
+// NewBackpressure returns a Backpressure that passes everything.
+func NewBackpressure() *Backpressure {
+	return &Backpressure{flows: make(map[Flow]*pass), classes: make(map[string]state)}
+}
+
+// Allow reports whether a root request may go on.
+func (b *Backpressure) Allow(now time.Time, f Flow) bool {
+	b.sweep(now)
+	p := b.flow(f)
+	p.usedAt = now
+	s := b.classes[f.Class]
+	cut := f.Importance < s.importance && now.Sub(s.reportedAt) < levelMemory
+	return p.take(now, cut)
+}
+
+// Answered takes in how a passed request ended: shed says that a service
+// refused it, or a call below it, for overload.
+func (b *Backpressure) Answered(now time.Time, f Flow, shed bool, pressure Pressure) {
+	p := b.flow(f)
+	p.usedAt = now
+	s := b.classes[f.Class].reported(now, pressure)
+	b.classes[f.Class] = s
+	switch {
+	case shed:
+		p.scale(1 - shedStep)
+	case s.calmSince.IsZero():
+		p.scale(1 + shedStep*shedGoal/(1-shedGoal))
+	case now.Sub(s.calmSince) < calmTime:
+		p.scale(1 + shedStep)
+	default:
+		p.scale(calmGrowth)
+	}
+}
+
+// Share returns the share of a flow's calls that pass at present.
+func (b *Backpressure) Share(f Flow) float64 {
+	if p, ok := b.flows[f]; ok {
+		return p.share
+	}
+	return 1
+}
+
+func (b *Backpressure) flow(f Flow) *pass {
+	p, ok := b.flows[f]
+	if !ok {
+		p = &pass{share: 1}
+		b.flows[f] = p
+	}
+	return p
+}
+
+// sweep forgets flows that were not used for long.
+func (b *Backpressure) sweep(now time.Time) {
+	if now.Sub(b.swept) < idleFlow {
+		return
+	}
+	b.swept = now
+	for f, p := range b.flows {
+		if now.Sub(p.usedAt) >= idleFlow {
+			delete(b.flows, f)
+		}
+	}
+}
+
+// A pass is the state of one flow.
+type pass struct {
+	share float64
+	// credit gathers the share of each call; a call passes for each whole one.
+	credit   float64
+	passedAt time.Time
+	usedAt   time.Time
+}
+
+func (p *pass) take(now time.Time, cut bool) bool {
+	if !cut {
+		p.credit += p.share
+	}
+	if p.credit >= 1 && !cut {
+		p.credit--
+		p.passedAt = now
+		return true
+	}
+	if now.Sub(p.passedAt) >= probeInterval {
+		p.passedAt = now
+		return true
+	}
+	return false
+}
+
+func (p *pass) scale(factor float64) {
+	p.share = math.Min(1, math.Max(leastPass, p.share*factor))
+}
