Follow the baseline of the limit by a moving mean

Cause: the baseline was the lowest mean of a window and followed chance, so limits fell without queueing (112 of 150, 22 of 40 slots in a surge). Change: moving mean of what lies within 15% of it, windows of 100, step down to 0.6.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -7,7 +7,7 @@
 
 const (
 	// windowSamples ends a window of the limit by number of completions.
-	windowSamples = 60
+	windowSamples = 100
 	// windowTime ends a window that has at least fewestSamples.
 	windowTime = time.Second
 	// fewestSamples is the smallest number of completions that a decision uses.
@@ -15,8 +15,14 @@
 	// toleratedRise is the rise of the own time above its baseline that is not
 	// taken for queueing inside the backend server.
 	toleratedRise = 1.5
-	// decrease is the factor of a step down.
-	decrease = 0.75
+	// baselineGain is the weight of a new mean in the baseline. The lowest mean
+	// instead would follow chance.
+	baselineGain = 0.05
+	// followedRise is the greatest rise that the baseline follows.
+	followedRise = 1.15
+	// decrease is the factor of a step down. It leads below the slots of a
+	// backend server that queued at toleratedRise, where the baseline is seen.
+	decrease = 0.6
 	// startGrowth is the factor of a step up during slow start.
 	startGrowth = 1.5
 	// steadyGrowth is the share of a step up after slow start.
@@ -139,7 +145,7 @@
 		return
 	}
 	mean := w.sum / time.Duration(max(1, w.samples))
-	if l.baseline == 0 || mean < l.baseline {
+	if l.baseline == 0 {
 		l.baseline = mean
 	}
 	if l.previous.mean > 0 && l.slowedForOtherReason(mean) {
@@ -150,6 +156,9 @@
 	}
 	saturated := float64(w.peak) >= math.Floor(l.current)
 	raised := float64(mean) > toleratedRise*float64(l.baseline)
+	if float64(mean) <= followedRise*float64(l.baseline) {
+		l.baseline += time.Duration(baselineGain * float64(mean-l.baseline))
+	}
 	switch {
 	case raised && saturated:
 		l.stepDown(mean)
