--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -140,8 +140,9 @@
 	Host string
 	// Outcome is how it ended.
 	Outcome Outcome
-	// Overloaded says that the refusal came from a lack of capacity in the
-	// service as a whole or further down, where another try adds load.
+	// Overloaded says that a service further down refused for a lack of
+	// capacity. Another try would only repeat the work above it; a refusal by
+	// the host itself is not meant, as another host may have room.
 	Overloaded bool
 	// Final says that every host would answer alike, such as for a missing key
 	// or a quarantined request.
--- a/trial/decisions/policy.go
+++ b/trial/decisions/policy.go
@@ -216,7 +216,7 @@
 			Latency: s.now.Sub(sent), Shed: res.shed, Report: res.report, Reported: res.reported,
 		})
 		_ = a.Return(loan, res.unused)
-		attempt := retry.Attempt{Host: node.Host, Outcome: outcome(res), Overloaded: res.shed}
+		attempt := retry.Attempt{Host: node.Host, Outcome: outcome(res), Overloaded: res.shed && res.ran}
 		budget := from.budgets[c.service()]
 		work := retry.Work{Idempotent: true, Deadline: c.request.deadline}
 		if res.ok {
