Run the decisions in the node

Cause: nodes admitted by a fixed limit in order of arrival, chose nodes in turn, retried without a budget and knew no backpressure or quarantine. Change: admitter, router, retries, pressure and suspects put the lock, the timer and the messages around the decision packages. Answers carry the pressure of the tightest service below; the registry measures the time that a backend server waits for its own calls, so that a slow callee doesn't lower its caller's limit. Strikes are sent to all known nodes before the broken request is answered, so a re-send finds them. A strike needs a broken connection of the request's own.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -80,12 +80,13 @@
 // that ran in the old one must be completed by Done.
 func (c *Controller) Restart(capacity Capacity) { c.limit.Restart(capacity) }
 
+// Announce takes in what the backend server says of itself.
+func (c *Controller) Announce(capacity Capacity) { c.limit.Resize(capacity) }
+
 // Admit takes in a request that has arrived.
 func (c *Controller) Admit(now time.Time, r Request) Actions {
 	var a Actions
-	if c.queue.Len() == 0 && c.free() > 0 {
-		c.admitted = 0
-	}
+	c.relax(now)
 	if r.Importance < c.admitted {
 		c.shed(now, r, Overloaded, &a)
 		return a
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -221,6 +221,17 @@
 	}
 }
 
+func TestAnnouncementBoundsTheLimit(t *testing.T) {
+	is := is.New(t)
+	limit := admission.NewLimit(admission.Capacity{})
+	limit.Resize(admission.Capacity{Slots: 400})
+	is.Equal(limit.Value(), 100) // slow start
+	limit.Resize(admission.Capacity{Slots: 400, Connections: 30})
+	is.Equal(limit.Value(), 30)
+	limit.Resize(admission.Capacity{Slots: 400, Connections: 200})
+	is.Equal(limit.Value(), 30) // rises by answers only
+}
+
 // A backend server with real slots answers in a time that grows with the
 // requests above them; its announcement may claim more.
 func TestLimitFindsSlotsAndSurvivesSlowness(t *testing.T) {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -106,6 +106,17 @@
 	*l = Limit{capacity: c, current: math.Min(start, float64(c.ceiling())), starting: true}
 }
 
+// Resize takes in another announcement of the same backend server. The first
+// one begins slow start; a later one only moves the upper bound.
+func (l *Limit) Resize(c Capacity) {
+	if l.capacity == (Capacity{}) {
+		l.Restart(c)
+		return
+	}
+	l.capacity = c
+	l.current = math.Min(l.current, float64(c.ceiling()))
+}
+
 // Value returns the number of requests that may be in the backend server. It
 // is at least 1.
 func (l *Limit) Value() int { return max(1, int(l.current)) }
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -12,9 +12,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
-	"github.com/bilberryvane/bilberryvane/internal/request/call"
-	"github.com/bilberryvane/bilberryvane/internal/request/forward"
-	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
 )
 
 // KindHello asks a node who it is and what it offers.
@@ -39,6 +36,8 @@
 	Service string `cbor:"4,keyasint,omitempty"`
 	// Leaving says that it takes no new work.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Incarnation is greater after each start of the node.
+	Incarnation uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // A Directory holds the nodes that answered last. It is safe for concurrent use.
@@ -46,11 +45,10 @@
 	endpoint *peer.Endpoint
 	seeds    []string
 
-	// mu guards own, nodes and next.
+	// mu guards own and nodes.
 	mu    sync.RWMutex
 	own   Node
 	nodes map[string]Node
-	next  int
 }
 
 // New returns a Directory for a node and registers its handler.
@@ -90,35 +88,6 @@
 	}
 }
 
-// Pick returns a node that offers the call's service, in turn, own zone first.
-func (d *Directory) Pick(c call.Context, excluded []string) (forward.Target, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var near, far []Node
-	for _, n := range d.candidates(c.Service, excluded) {
-		if n.Zone == d.own.Zone {
-			near = append(near, n)
-			continue
-		}
-		far = append(far, n)
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return forward.Target{}, refusal.New(refusal.NoBackendServer)
-	}
-	d.next++
-	n := near[d.next%len(near)]
-	if n.Host == d.own.Host {
-		return forward.Target{Host: n.Host}, nil
-	}
-	return forward.Target{Host: n.Host, Address: n.Address}, nil
-}
-
-// Observe ignores how tries end; leaving and lost nodes are found by polling.
-func (d *Directory) Observe(forward.Target, call.Context, forward.Observation) {}
-
 // Nodes returns all nodes known, the own one included.
 func (d *Directory) Nodes() []Node {
 	d.mu.RLock()
@@ -130,28 +99,6 @@
 	return nodes
 }
 
-// candidates returns the nodes that offer a service; mu must be held.
-func (d *Directory) candidates(service string, excluded []string) []Node {
-	var found []Node
-	for _, n := range append(d.sorted(), d.own) {
-		if n.Service == service && !n.Leaving && !contains(excluded, n.Host) {
-			found = append(found, n)
-		}
-	}
-	return found
-}
-
-// sorted returns the other nodes in the order of the seeds; mu must be held.
-func (d *Directory) sorted() []Node {
-	nodes := make([]Node, 0, len(d.nodes))
-	for _, seed := range d.seeds {
-		if n, ok := d.nodes[seed]; ok {
-			nodes = append(nodes, n)
-		}
-	}
-	return nodes
-}
-
 func (d *Directory) poll(ctx context.Context, seed string) {
 	limited, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -186,12 +133,3 @@
 	}
 	return body, nil
 }
-
-func contains(hosts []string, host string) bool {
-	for _, h := range hosts {
-		if h == host {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/process/node/backend.go
+++ b/internal/process/node/backend.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bilberryvane/bilberryvane/admission"
 	"github.com/bilberryvane/bilberryvane/internal/connection/backend"
 )
 
@@ -37,7 +38,7 @@
 	n.announced = announcement{server: s, at: n.clock.Now()}
 	n.mu.Unlock()
 	n.backend.Use(s)
-	n.admission.Resize(s.Slots)
+	n.admission.Announce(admission.Capacity{Slots: s.Slots, Connections: s.Connections})
 	n.offer()
 	return nil
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
+	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/request/entry"
 	"github.com/bilberryvane/bilberryvane/internal/request/registry"
 )
@@ -45,7 +46,8 @@
 	endpoint      *peer.Endpoint
 	registry      *registry.Registry
 	backend       *backend.Client
-	admission     *admitter.Fixed
+	admission     *admitter.Admitter
+	strikes       *suspects.Broadcast
 	directory     *directory.Directory
 	refusals      *refusals.Log
 	metrics       *metrics.Metrics
@@ -85,18 +87,18 @@
 // Start makes a node and begins to serve.
 func Start(s settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
-		settings:  s,
-		clock:     clock.System{},
-		log:       event.NewLog(log.Log),
-		registry:  registry.New(),
-		admission: admitter.NewFixed(s.Host.Name),
-		refusals:  refusals.NewLog(keptRefusals),
-		metrics:   metrics.New(),
+		settings: s,
+		clock:    clock.System{},
+		log:      event.NewLog(log.Log),
+		registry: registry.New(),
+		refusals: refusals.NewLog(keptRefusals),
+		metrics:  metrics.New(),
 	}
 	for _, o := range options {
 		o(n)
 	}
 	n.backend = backend.NewClient(n.clock)
+	n.admission = admitter.New(s.Host.Name, newTargets(n.configuration), n.clock)
 	n.burn = burn.NewRecorder(s.Host.Name, n.clock)
 	if err := n.connect(); err != nil {
 		return nil, err
@@ -157,6 +159,7 @@
 	if err := n.operators.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down operators: %w", err)
 	}
+	n.strikes.Close()
 	if err := n.endpoint.Close(); err != nil {
 		return fmt.Errorf("close peers: %w", err)
 	}
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -87,22 +87,25 @@
 		is.NoErr(err)
 		f.hosts[h.Name] = running
 	}
-	t.Cleanup(func() {
-		http.DefaultClient.CloseIdleConnections()
-		var stopping sync.WaitGroup
-		for _, h := range f.hosts {
-			stopping.Go(func() {
-				if err := h.Stop(); err != nil {
-					t.Errorf("stop %s: %v", h.Host.Name, err)
-				}
-			})
-		}
-		stopping.Wait()
-	})
+	t.Cleanup(f.stop)
 	f.waitReady()
 	return f
 }
 
+// stop ends all hosts at the same time.
+func (f *fleet) stop() {
+	http.DefaultClient.CloseIdleConnections()
+	var stopping sync.WaitGroup
+	for _, h := range f.hosts {
+		stopping.Go(func() {
+			if err := h.Stop(); err != nil {
+				f.t.Errorf("stop %s: %v", h.Host.Name, err)
+			}
+		})
+	}
+	stopping.Wait()
+}
+
 // waitReady waits until every service answers at every node.
 func (f *fleet) waitReady() {
 	f.t.Helper()
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -14,6 +14,10 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/pressure"
+	"github.com/bilberryvane/bilberryvane/internal/process/retries"
+	"github.com/bilberryvane/bilberryvane/internal/process/router"
+	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/entry"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
@@ -50,19 +54,33 @@
 
 // wire makes the parts that deal with requests and returns the entry to them.
 func (n *Node) wire() *entry.Entry {
+	host := n.settings.Host
 	own := directory.Node{
-		Host:    n.settings.Host.Name,
-		Zone:    n.settings.Host.Zone,
-		Address: n.endpoint.Address(),
+		Host:        host.Name,
+		Zone:        host.Zone,
+		Address:     n.endpoint.Address(),
+		Incarnation: uint64(n.clock.Now().UnixNano()),
 	}
 	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
-	executor := execute.New(n.settings.Host.Name, keys{n.configuration}, n.admission, noQuarantine{},
-		n.backend, n.registry, n.clock)
+	n.strikes = suspects.NewBroadcast(host.Name, n.directory, n.endpoint)
+	watch := suspects.NewWatch(host.Name, own.Incarnation, n.strikes, n.strikes, n.clock, n.log)
+	n.endpoint.Handle(suspects.KindStrikes, watch.Receive)
+	executor := execute.New(execute.Parts{
+		Host:       host.Name,
+		Keys:       keys{n.configuration},
+		Admission:  n.admission,
+		Quarantine: watch,
+		Backend:    n.backend,
+		Registry:   n.registry,
+		Clock:      n.clock,
+	})
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
-	forwarder := forward.New(n.directory, noBudget{}, executor, n.endpoint, n.clock)
+	chooser := router.New(host.Name, host.Zone, n.directory, watch, n.clock)
+	forwarder := forward.New(chooser, retries.New(n.clock), executor, n.endpoint, n.clock)
 	return entry.New(entry.Parts{
-		Host:          n.settings.Host.Name,
+		Host:          host.Name,
 		Configuration: n.configuration,
+		Backpressure:  pressure.NewGate(n.clock),
 		Rate:          noRate{},
 		Claims:        noClaims{},
 		Forwarder:     forwarder,
@@ -119,23 +137,6 @@
 	return ok && snapshot.KeyActive(id)
 }
 
-// noQuarantine holds back no request.
-type noQuarantine struct{}
-
-// Enter lets the request through.
-func (noQuarantine) Enter(context.Context, exchange.Request) (func(execute.Result), error) {
-	return func(execute.Result) {}, nil
-}
-
-// noBudget leaves retries to the allowance of attempts.
-type noBudget struct{}
-
-// Allow allows the retry.
-func (noBudget) Allow(string) bool { return true }
-
-// Success counts nothing.
-func (noBudget) Success(string) {}
-
 // noRate holds no account to its rate.
 type noRate struct{}
 
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -38,6 +38,9 @@
 	Remaining time.Duration `cbor:"11,keyasint"`
 	// ConfigurationVersion is the version under which the request was admitted.
 	ConfigurationVersion uint64 `cbor:"12,keyasint,omitempty"`
+	// Content is a hash of the work that is asked for, by which requests that
+	// crash backend servers are known again.
+	Content uint64 `cbor:"13,keyasint,omitempty"`
 	// Deadline is when the caller stops waiting, by the local clock.
 	Deadline time.Time `cbor:"-"`
 }
@@ -70,6 +73,12 @@
 	return c
 }
 
+// WithContent returns the context with the hash of the work it asks for.
+func (c Context) WithContent(hash uint64) Context {
+	c.Content = hash
+	return c
+}
+
 // WithIdempotency returns the context with the idempotency of the work it asks for.
 func (c Context) WithIdempotency(idempotent bool, idempotencyKey string) Context {
 	c.Idempotent = idempotent
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/version/class"
 	"github.com/bilberryvane/bilberryvane/internal/version/configuration"
 	"github.com/bilberryvane/bilberryvane/internal/version/key"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 const (
@@ -83,6 +84,14 @@
 	Forward(ctx context.Context, r exchange.Request) exchange.Answer
 }
 
+// A Backpressure refuses root requests that a service further down would shed,
+// before work is spent on them. Its error is a refusal.Refusal.
+type Backpressure interface {
+	Allow(c call.Context) error
+	// Observe reports how an allowed request ended.
+	Observe(c call.Context, a exchange.Answer)
+}
+
 // A Recorder learns how each request ended, for reports and explanations.
 type Recorder interface {
 	Record(c call.Context, target time.Duration, elapsed time.Duration, a exchange.Answer)
@@ -92,6 +101,7 @@
 type Entry struct {
 	host          string
 	configuration Configuration
+	backpressure  Backpressure
 	rate          Rate
 	claims        Claims
 	forwarder     Forwarder
@@ -104,6 +114,7 @@
 type Parts struct {
 	Host          string
 	Configuration Configuration
+	Backpressure  Backpressure
 	Rate          Rate
 	Claims        Claims
 	Forwarder     Forwarder
@@ -117,6 +128,7 @@
 	return &Entry{
 		host:          p.Host,
 		configuration: p.Configuration,
+		backpressure:  p.Backpressure,
 		rate:          p.Rate,
 		claims:        p.Claims,
 		forwarder:     p.Forwarder,
@@ -134,6 +146,9 @@
 	if err != nil {
 		return e.finish(c, work, start, asAnswer(err))
 	}
+	if err := e.backpressure.Allow(admitted); err != nil {
+		return e.finish(admitted, work, start, asAnswer(err))
+	}
 	limited, cancel := context.WithDeadline(ctx, admitted.Deadline)
 	defer cancel()
 	if admitted.Account != "" {
@@ -141,7 +156,9 @@
 			return e.finish(admitted, work, start, asAnswer(err))
 		}
 	}
-	return e.finish(admitted, work, start, e.once(limited, admitted, in))
+	answer := e.once(limited, admitted, in)
+	e.backpressure.Observe(admitted, answer)
+	return e.finish(admitted, work, start, answer)
 }
 
 // admit checks who asks and for what, and completes the call context.
@@ -192,7 +209,9 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go cancelWith(parent.Done, stop, cancel)
+	parent.BeginCall(start)
 	answer := e.once(limited, c.WithAttempts(borrowed), in)
+	parent.EndCall(e.clock.Now(), answer.Pressure)
 	parent.Return(answer.UnusedAttempts)
 	return e.finish(c, work, start, answer)
 }
@@ -229,6 +248,8 @@
 
 // once forwards a request; work that may not be repeated is claimed before.
 func (e *Entry) once(ctx context.Context, c call.Context, in Incoming) exchange.Answer {
+	mark := quarantine.FingerprintOf(c.Account, c.Service, in.Method, in.Path, in.Body)
+	c = c.WithContent(mark.Hash)
 	r := exchange.Request{Context: c, Method: in.Method, Path: in.Path, Headers: in.Headers, Body: in.Body}
 	if c.Idempotent {
 		return e.forwarder.Forward(ctx, r)
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -45,6 +45,21 @@
 	FreeSlots int `cbor:"5,keyasint,omitempty"`
 }
 
+// A Pressure is the load of the tightest service that took part in an answer. It
+// rides back through the chain, so that an entry hears of the deepest service.
+type Pressure struct {
+	// Service is the tightest service; empty where no node executed.
+	Service string `cbor:"1,keyasint,omitempty"`
+	// AdmittedImportance is the lowest importance admitted there.
+	AdmittedImportance int `cbor:"2,keyasint,omitempty"`
+	// QueueDelay is how long requests wait there.
+	QueueDelay time.Duration `cbor:"3,keyasint,omitempty"`
+	// FreeSlots is the number of further requests that could run there at once.
+	FreeSlots int `cbor:"4,keyasint,omitempty"`
+	// Shed says that the request or a call below it was refused for overload.
+	Shed bool `cbor:"5,keyasint,omitempty"`
+}
+
 // An Answer is the whole answer to a Request, or the refusal of it.
 type Answer struct {
 	Status  int      `cbor:"1,keyasint,omitempty"`
@@ -56,6 +71,8 @@
 	UnusedAttempts int `cbor:"5,keyasint,omitempty"`
 	// Load is the executing node's report; its host is empty where no node executed.
 	Load Load `cbor:"6,keyasint,omitempty"`
+	// Pressure is that of the tightest service below.
+	Pressure Pressure `cbor:"7,keyasint,omitempty"`
 	// RequestID names the root request towards its caller.
 	RequestID string `cbor:"-"`
 }
@@ -74,3 +91,9 @@
 	a.Load = l
 	return a
 }
+
+// WithPressure returns the answer with the pressure of the tightest service.
+func (a Answer) WithPressure(p Pressure) Answer {
+	a.Pressure = p
+	return a
+}
--- a/internal/request/execute/execute.go
+++ b/internal/request/execute/execute.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
@@ -24,6 +25,8 @@
 	Handed bool
 	// Crashed says that the connection broke before the answer was whole.
 	Crashed bool
+	// Waited is the time that the backend server waited for calls of its own.
+	Waited time.Duration
 }
 
 // A Backend hands a request to the backend server with a request token.
@@ -40,9 +43,18 @@
 }
 
 // A Quarantine holds back requests that crash backend servers. Its error is a
-// refusal.Refusal. Each admitted request must be reported with done.
+// refusal.Refusal.
 type Quarantine interface {
-	Enter(ctx context.Context, r exchange.Request) (done func(Result), err error)
+	Enter(ctx context.Context, c call.Context) (Visit, error)
+}
+
+// A Visit is a request that a Quarantine let in.
+type Visit interface {
+	// Start is called when the request is about to be handed over. Its error is
+	// a refusal.Refusal; the request is then not handed over.
+	Start() error
+	// Leave must be called once with how the request ended.
+	Leave(r Result)
 }
 
 // Keys tells whether a key still works at this node.
@@ -61,36 +73,56 @@
 	clock      clock.Clock
 }
 
+// Parts are what an Executor works with; all are needed.
+type Parts struct {
+	Host       string
+	Keys       Keys
+	Admission  Admission
+	Quarantine Quarantine
+	Backend    Backend
+	Registry   *registry.Registry
+	Clock      clock.Clock
+}
+
 // New returns an Executor for the backend server of a host.
-func New(host string, k Keys, a Admission, q Quarantine, b Backend, r *registry.Registry, c clock.Clock) *Executor {
-	return &Executor{host: host, keys: k, admission: a, quarantine: q, backend: b, registry: r, clock: c}
+func New(p Parts) *Executor {
+	return &Executor{
+		host:       p.Host,
+		keys:       p.Keys,
+		admission:  p.Admission,
+		quarantine: p.Quarantine,
+		backend:    p.Backend,
+		registry:   p.Registry,
+		clock:      p.Clock,
+	}
 }
 
 // Execute runs one call. A refusal with outcome not-run returns the whole
 // allowance of attempts.
 func (e *Executor) Execute(ctx context.Context, r exchange.Request) exchange.Answer {
-	held, err := e.quarantine.Enter(ctx, r)
+	visit, err := e.quarantine.Enter(ctx, r.Context)
 	if err != nil {
 		return e.refuse(r.Context, err)
 	}
-	result := e.admitted(ctx, r)
-	held(result)
-	return result.Answer.WithLoad(e.admission.Load())
+	result := e.admitted(ctx, r, visit)
+	visit.Leave(result)
+	return result.Answer
 }
 
-func (e *Executor) admitted(ctx context.Context, r exchange.Request) Result {
+func (e *Executor) admitted(ctx context.Context, r exchange.Request, visit Visit) Result {
 	done, err := e.admission.Admit(ctx, r.Context)
 	if err != nil {
 		return Result{Answer: e.refuse(r.Context, err)}
 	}
-	result := e.run(ctx, r)
+	result := e.run(ctx, r, visit)
 	done(result)
 	return result
 }
 
 // run hands the request over. Time has passed in the queue, so it first checks
-// that the key still works and that the caller still waits.
-func (e *Executor) run(ctx context.Context, r exchange.Request) Result {
+// that the key still works, that the caller still waits and that the request has
+// not been found to crash backend servers.
+func (e *Executor) run(ctx context.Context, r exchange.Request, visit Visit) Result {
 	c := r.Context
 	if c.KeyID != "" && !e.keys.KeyActive(c.KeyID) {
 		return Result{Answer: e.refuse(c, refusal.New(refusal.WithdrawnKey))}
@@ -101,13 +133,20 @@
 	if c.Attempts < 1 {
 		return Result{Answer: e.refuse(c, refusal.New(refusal.AttemptsUsedUp))}
 	}
-	token, _ := e.registry.Issue(c.WithAttempts(c.Attempts - 1))
+	if err := visit.Start(); err != nil {
+		return Result{Answer: e.refuse(c, err)}
+	}
+	token, running := e.registry.Issue(c.WithAttempts(c.Attempts - 1))
 	result := e.backend.Do(ctx, r, token)
 	unused := e.registry.End(token)
+	waited, below := running.Below(e.clock.Now())
+	result.Waited = waited
 	if !result.Handed {
 		unused = c.Attempts
 	}
-	result.Answer = e.name(c, result.Answer).WithUnusedAttempts(unused)
+	load := e.admission.Load()
+	pressure := merge(load, c.Service, below)
+	result.Answer = e.name(c, result.Answer).WithUnusedAttempts(unused).WithLoad(load).WithPressure(pressure)
 	return result
 }
 
@@ -117,8 +156,10 @@
 	if !errors.As(err, &r) {
 		r = refusal.New(refusal.Overloaded).WithDetail(fmt.Sprint(err))
 	}
-	answer := e.name(c, exchange.Refused(r)).WithUnusedAttempts(c.Attempts)
-	return answer.WithLoad(e.admission.Load())
+	load := e.admission.Load()
+	pressure := merge(load, c.Service, nil)
+	pressure.Shed = r.Reason == refusal.Overloaded
+	return e.name(c, exchange.Refused(r)).WithUnusedAttempts(c.Attempts).WithLoad(load).WithPressure(pressure)
 }
 
 // name fills in which request was refused and where.
--- a/internal/request/registry/registry.go
+++ b/internal/request/registry/registry.go
@@ -7,14 +7,19 @@
 import (
 	"crypto/rand"
 	"sync"
+	"time"
 
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
+	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 )
 
 // siblingReserve is the number of attempts that a child call leaves to others of
 // the same parent.
 const siblingReserve = 4
 
+// maxPressures bounds the pressures kept for one call.
+const maxPressures = 64
+
 // A Running is one call that a backend server is running. It holds the call's
 // remaining allowance of attempts, which its child calls borrow from.
 type Running struct {
@@ -23,10 +28,16 @@
 	// Done is closed when the call ends, so that child calls are cancelled.
 	Done chan struct{}
 
-	// mu guards attempts and ended.
+	// mu guards all below.
 	mu       sync.Mutex
 	attempts int
 	ended    bool
+	// calls is the number of child calls under way, callsSince when the first of
+	// them began, and waited the time in which there was any before.
+	calls      int
+	callsSince time.Time
+	waited     time.Duration
+	pressures  []exchange.Pressure
 }
 
 // Borrow takes attempts for one child call and returns how many; zero once the
@@ -52,6 +63,41 @@
 	}
 }
 
+// BeginCall notes that the backend server waits for a child call.
+func (r *Running) BeginCall(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls == 0 {
+		r.callsSince = now
+	}
+	r.calls++
+}
+
+// EndCall notes that a child call was answered, and under what pressure.
+func (r *Running) EndCall(now time.Time, p exchange.Pressure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls--
+	if r.calls == 0 {
+		r.waited += now.Sub(r.callsSince)
+	}
+	if p.Service != "" && len(r.pressures) < maxPressures {
+		r.pressures = append(r.pressures, p)
+	}
+}
+
+// Below returns how long the backend server waited for child calls, and the
+// pressures that these reported.
+func (r *Running) Below(now time.Time) (time.Duration, []exchange.Pressure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waited := r.waited
+	if r.calls > 0 {
+		waited += now.Sub(r.callsSince)
+	}
+	return waited, r.pressures
+}
+
 // end marks the call as ended and returns its unused attempts. Attempts that
 // child calls return later are lost, so that none is counted twice.
 func (r *Running) end() int {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -88,6 +88,19 @@
 	Quarantined
 )
 
+// An End says how a request left.
+type End int
+
+// The ends of a request.
+const (
+	// Ended is any end that says nothing about crashes, such as a refusal.
+	Ended End = iota
+	// Answered means that the backend server gave a whole answer.
+	Answered
+	// Broken means that the connection broke before the answer was whole.
+	Broken
+)
+
 // An Option changes a List's settings.
 type Option func(*List)
 
@@ -97,9 +110,9 @@
 // A List knows the strikes of a fleet as seen from one node. Its invariants: a
 // request is not started here with StrikeLimit strikes; two suspects are never
 // in the backend server at the same time; a request that was answered has no
-// strike of an earlier crash and gets none while it is remembered as proven.
+// strike of an earlier crash and gets none for the next one here.
 //
-// A poison request crashes at most as many backend servers as it was handed to
+// A poison request that was never answered crashes at most as many backend servers as it was handed to
 // before the first rumour arrived there, but two if that was one, provided that
 // suspects run only at their Place and nodes agree on the hosts.
 type List struct {
@@ -135,6 +148,8 @@
 type flight struct {
 	fingerprint Fingerprint
 	started     bool
+	// crashes is the number of crashes that were seen when it was started.
+	crashes uint64
 }
 
 // NewList returns an empty list for a node.
@@ -181,12 +196,15 @@
 	}
 	verdict := l.judge(now, f)
 	f.started = verdict == Run
+	f.crashes = l.crashes
 	return verdict
 }
 
-// Leave takes in the end of a request. A whole answer of the backend server
-// clears it; the rumours tell the other nodes.
-func (l *List) Leave(now time.Time, id uint64, answered bool) []Rumour {
+// Leave takes in the end of a request; the rumours tell the other nodes. A whole
+// answer clears it. A broken one is a strike, unless an equal request was
+// answered since one broke here: only requests whose own connection broke are struck, so a
+// connection that was merely cut strikes nobody else.
+func (l *List) Leave(now time.Time, id uint64, end End) []Rumour {
 	f, ok := l.flights[id]
 	if !ok {
 		return nil
@@ -195,31 +213,28 @@
 	if l.suspect == f {
 		l.suspect = nil
 	}
-	if !answered || !f.started {
+	switch {
+	case !f.started:
 		return nil
+	case end == Answered:
+		l.proven.add(f.fingerprint)
+		return l.clear(now, f.fingerprint)
+	case end == Broken && l.proven.has(f.fingerprint):
+		l.proven.remove(f.fingerprint)
+		return nil
+	case end == Broken:
+		r := Rumour{Fingerprint: f.fingerprint, Crash: l.crashOf(f)}
+		l.Merge(now, r)
+		return []Rumour{r}
 	}
-	l.proven.add(f.fingerprint)
-	return l.clear(now, f.fingerprint)
+	return nil
 }
 
-// Crashed takes in that the backend server crashed: every request in it gets a
-// strike, unless an equal one was answered before. The requests still have to leave.
-func (l *List) Crashed(now time.Time) []Rumour {
-	l.crashes++
-	crash := Crash{Host: l.host, Incarnation: l.incarnation, Number: l.crashes}
-	struck := make(map[Fingerprint]bool)
-	var rumours []Rumour
-	for _, id := range slices.Sorted(maps.Keys(l.flights)) {
-		f := l.flights[id]
-		if !f.started || struck[f.fingerprint] || l.proven.has(f.fingerprint) {
-			continue
-		}
-		struck[f.fingerprint] = true
-		r := Rumour{Fingerprint: f.fingerprint, Crash: crash}
-		l.Merge(now, r)
-		rumours = append(rumours, r)
-	}
-	return rumours
+// crashOf names the crash that ended a flight. Flights that were started between
+// the same two crashes were ended by the same one.
+func (l *List) crashOf(f *flight) Crash {
+	l.crashes = max(l.crashes, f.crashes+1)
+	return Crash{Host: l.host, Incarnation: l.incarnation, Number: f.crashes + 1}
 }
 
 // Merge takes in a rumour from another node and reports whether it was news.
@@ -321,6 +336,8 @@
 
 func (r *recent) has(f Fingerprint) bool { return r.all[f] }
 
+func (r *recent) remove(f Fingerprint) { delete(r.all, f) }
+
 func (r *recent) add(f Fingerprint) {
 	if r.all[f] {
 		return
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -56,7 +56,7 @@
 	ran = make(map[quarantine.Fingerprint]bool)
 	for i, list := range f.lists {
 		var entered []uint64
-		crash := false
+		crash, end := false, quarantine.Answered
 		for _, p := range sends[i] {
 			f.next++
 			if list.Enter(f.now, f.next, p) != quarantine.Run {
@@ -70,10 +70,10 @@
 		}
 		if crash {
 			f.crashes[f.hosts[i]]++
-			f.rumours = append(f.rumours, list.Crashed(f.now)...)
+			end = quarantine.Broken
 		}
 		for _, id := range entered {
-			f.rumours = append(f.rumours, list.Leave(f.now, id, !crash)...)
+			f.rumours = append(f.rumours, list.Leave(f.now, id, end)...)
 		}
 	}
 	return ran
@@ -149,30 +149,51 @@
 	is.Equal(list.Enter(start, 3, content(3)), quarantine.Run)
 	list.Start(start, 1)
 	list.Start(start, 2)
-	is.Equal(len(list.Crashed(start)), 2) // the third had not started
-	list.Leave(start, 1, false)
-	list.Leave(start, 2, false)
+	is.Equal(len(list.Leave(start, 1, quarantine.Broken)), 1)
+	is.Equal(len(list.Leave(start, 2, quarantine.Broken)), 1)
 	is.Equal(list.Enter(start, 4, content(1)), quarantine.Run)
 	is.Equal(list.Enter(start, 5, content(2)), quarantine.Busy)
 	is.Equal(list.Start(start, 3), quarantine.Run) // others run beside a suspect
 	is.Equal(list.Start(start, 4), quarantine.Run)
-	is.Equal(len(list.Leave(start, 4, true)), 1) // an answer clears
+	is.Equal(len(list.Leave(start, 4, quarantine.Answered)), 1) // an answer clears
 	is.Equal(list.Enter(start, 6, content(2)), quarantine.Run)
 	list.Merge(start, quarantine.Rumour{Fingerprint: content(2), Crash: quarantine.Crash{Host: "b"}})
 	is.Equal(list.Start(start, 6), quarantine.Quarantined) // a strike while it waited
-	list.Leave(start, 6, false)
+	list.Leave(start, 6, quarantine.Ended)
 	late := start.Add(quarantine.DefaultRetention)
 	is.Equal(list.Enter(late, 7, content(2)), quarantine.Run) // strikes expire
 }
 
+// Requests that a crash ends together get strikes of one crash; an equal request
+// in flight twice gets one.
+func TestOneCrashIsOneStrike(t *testing.T) {
+	is := is.New(t)
+	list := quarantine.NewList("a", 1)
+	for id := range uint64(3) {
+		list.Enter(start, id, content(1))
+		list.Start(start, id)
+	}
+	for id := range uint64(3) {
+		list.Leave(start, id, quarantine.Broken)
+	}
+	is.Equal(list.Strikes(start, content(1)), 1)
+	list.Enter(start, 9, content(1))
+	list.Start(start, 9)
+	list.Leave(start, 9, quarantine.Broken)
+	is.Equal(list.Strikes(start, content(1)), 2)
+}
+
 // A request that was answered before is not taken for the cause of a crash.
 func TestProvenRequestsGetNoStrike(t *testing.T) {
 	is := is.New(t)
 	list := quarantine.NewList("a", 1)
 	list.Enter(start, 1, content(1))
 	list.Start(start, 1)
-	list.Leave(start, 1, true)
+	list.Leave(start, 1, quarantine.Answered)
 	list.Enter(start, 2, content(1))
 	list.Start(start, 2)
-	is.Equal(len(list.Crashed(start)), 0)
+	is.Equal(len(list.Leave(start, 2, quarantine.Broken)), 0)
+	list.Enter(start, 3, content(1))
+	list.Start(start, 3)
+	is.Equal(len(list.Leave(start, 3, quarantine.Broken)), 1) // but only once
 }
