--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -38,12 +38,18 @@
 	return server, listener.Addr().String()
 }
 
+// longTarget keeps requests that wait for a taken slot from being shed.
+const longTarget = 30 * time.Second
+
 // followingFleet starts nodes that take their configuration from a platform.
 func followingFleet(t *testing.T) (*fleet, *platform.Server) {
 	t.Helper()
 	server, address := startPlatform(t)
 	l := twoServices()
 	l.Platform, l.Follow, l.Accounts = address, true, append(l.Accounts, deployment.Account{Name: "depot-sued", Rate: 1000, Burst: 100})
+	for i := range l.Classes {
+		l.Classes[i].Target = longTarget
+	}
 	d, err := deployment.Plan(t.TempDir(), l)
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(d.Publish())
