--- a/trial/cmd/trial-capacity/main.go
+++ b/trial/cmd/trial-capacity/main.go
@@ -38,6 +38,7 @@
 		{name: "configuration", measure: capacity.Configuration},
 		{name: "rates", measure: capacity.Grants},
 		{name: "shards", measure: capacity.Shards},
+		{name: "decisions", measure: capacity.Decisions},
 		{name: "idle", measure: capacity.Idle},
 	}
 }
