Spread the version as one rumour and find the hosts of every zone

Cause: each node that took up a version published a rumour of its own under the same key, so that each replaced all earlier ones: as many rumours for each change as there are nodes. The rumour now has the configuration's version as its own, so all are one and the same.

A host knows its own zone whole and only some hosts of others, so the tool now asks one host of each zone for its peers. Its questions are sent once: the HTTP library repeats those that time out. authority init makes the group key too.

Shown to fail: with rumours of version zero TestFollowersHoldWhatIsPublishedThroughOutages is red.

--- a/internal/process/console/arguments.go
+++ b/internal/process/console/arguments.go
@@ -114,7 +114,7 @@
 
 // InitArguments are those of authority init.
 type InitArguments struct {
-	Directory string        `arg:"--directory" default:"." help:"where to write authority.pem and authority.key"`
+	Directory string        `arg:"--directory" default:"." help:"where to write authority.pem, authority.key and group.key"`
 	Lifetime  time.Duration `arg:"--lifetime" default:"87600h" help:"how long the authority is valid"`
 }
 
--- a/internal/process/console/authority.go
+++ b/internal/process/console/authority.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/bilberryvane/bilberryvane/internal/connection/identity"
+	"github.com/bilberryvane/bilberryvane/internal/connection/seal"
 )
 
 // The names and modes of the files with certificates and private keys.
 const (
 	authorityName   = "authority"
+	groupKeyName    = "group.key"
 	certificateEnd  = ".pem"
 	privateKeyEnd   = ".key"
 	certificateMode = 0o644
@@ -26,10 +28,15 @@
 	Certificate string    `json:"certificate"`
 	PrivateKey  string    `json:"private-key"`
 	ValidUntil  time.Time `json:"valid-until"`
+	// GroupKey is set where the group key of the deployment was made too.
+	GroupKey string `json:"group-key,omitempty"`
 }
 
 // WriteText writes the names of the files.
 func (c Certificates) WriteText(w io.Writer) error {
+	if c.GroupKey != "" {
+		fmt.Fprintf(w, "wrote %s\n", c.GroupKey)
+	}
 	_, err := fmt.Fprintf(w, "wrote %s and %s, valid until %s\n",
 		c.Certificate, c.PrivateKey, c.ValidUntil.Format(time.DateOnly))
 	return err
@@ -40,7 +47,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("make authority: %w", err)
 	}
-	return writePair(a.Directory, authorityName, authority.PEM(), now.Add(a.Lifetime))
+	groupKey, err := seal.NewKey()
+	if err != nil {
+		return nil, err
+	}
+	files, err := writePair(a.Directory, authorityName, authority.PEM(), now.Add(a.Lifetime))
+	if err != nil {
+		return nil, err
+	}
+	files.GroupKey = filepath.Join(a.Directory, groupKeyName)
+	if err := writeNew(files.GroupKey, groupKey, privateKeyMode); err != nil {
+		return nil, err
+	}
+	return files, nil
 }
 
 func issueCertificate(a IssueArguments, now time.Time) (Result, error) {
@@ -60,7 +79,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("issue certificate: %w", err)
 	}
-	return writePair(a.Directory, a.Host, pair, now.Add(a.Lifetime))
+	files, err := writePair(a.Directory, a.Host, pair, now.Add(a.Lifetime))
+	if err != nil {
+		return nil, err
+	}
+	return files, nil
 }
 
 func loadAuthority(directory string) (*identity.Authority, error) {
@@ -82,13 +105,13 @@
 
 // writePair writes a certificate and its private key. It overwrites nothing: an
 // authority that is lost makes every node's certificate worthless.
-func writePair(directory, name string, pair identity.Pair, until time.Time) (Result, error) {
+func writePair(directory, name string, pair identity.Pair, until time.Time) (Certificates, error) {
 	base := filepath.Join(directory, name)
 	if err := writeNew(base+privateKeyEnd, pair.PrivateKey, privateKeyMode); err != nil {
-		return nil, err
+		return Certificates{}, err
 	}
 	if err := writeNew(base+certificateEnd, pair.Certificate, certificateMode); err != nil {
-		return nil, err
+		return Certificates{}, err
 	}
 	return Certificates{Certificate: base + certificateEnd, PrivateKey: base + privateKeyEnd, ValidUntil: until}, nil
 }
--- a/internal/process/console/console_test.go
+++ b/internal/process/console/console_test.go
@@ -283,7 +283,7 @@
 	is.True(strings.Contains(out, "address "+quiet+": no answer")) // and no other is named
 	is.True(!strings.Contains(out, "  host "))
 	zone := b.content() + "[zone bayern-3]\nshare = 0\n"
-	code, out = b.run("apply", "--wait", "5s", b.file("zone.ini", zone))
+	code, out = b.run("apply", "--wait", "1s", b.file("zone.ini", zone))
 	is.Equal(code, console.ExitLagging)
 	is.True(strings.Contains(out, "availability zone bayern-3: no host answers"))
 }
@@ -318,9 +318,11 @@
 	is.Equal(code, console.ExitBadInput) // an authority is not overwritten
 	code, _ = b.run("authority", "issue", "--directory", directory, "--address", "10.0.0.7", "host-7", "herning-1")
 	is.Equal(code, console.ExitDone)
-	info, err := os.Stat(filepath.Join(directory, "host-7.key"))
-	is.NoErr(err)
-	is.Equal(info.Mode().Perm(), os.FileMode(0o600))
+	for _, name := range []string{"authority.key", "group.key", "host-7.key"} {
+		info, err := os.Stat(filepath.Join(directory, name))
+		is.NoErr(err)
+		is.Equal(info.Mode().Perm(), os.FileMode(0o600))
+	}
 	code, _ = b.run("authority", "issue", "--directory", directory, "--address", "somewhere", "host-8", "herning-1")
 	is.Equal(code, console.ExitBadInput)
 }
--- a/internal/process/console/fleet.go
+++ b/internal/process/console/fleet.go
@@ -20,6 +20,8 @@
 const (
 	// maxQuestions bounds the nodes that are asked at the same time.
 	maxQuestions = 64
+	// maxGuides bounds the rounds in which hosts are asked for their peers.
+	maxGuides = 4
 	// maxAnswerBytes bounds an answer of a node.
 	maxAnswerBytes = 32 << 20
 )
@@ -33,7 +35,11 @@
 
 func newFleet(s Settings) *fleet {
 	return &fleet{
-		client:  &fasthttp.Client{MaxResponseBodySize: maxAnswerBytes, NoDefaultUserAgentHeader: true},
+		client: &fasthttp.Client{
+			MaxResponseBodySize:       maxAnswerBytes,
+			NoDefaultUserAgentHeader:  true,
+			MaxIdemponentCallAttempts: 1,
+		},
 		timeout: s.Timeout,
 		starts:  s.Nodes,
 	}
@@ -51,48 +57,94 @@
 	Answered bool `json:"answered"`
 }
 
-// hosts asks all hosts for their status: the ones in the settings, and the peers
-// of which those tell. All operator ports are taken to be the same.
+// hosts asks all hosts for their status. Each host knows all hosts of its zone and
+// some of others, so a host of every zone is asked for its peers: those in the
+// settings, and one of each zone that they tell of. All operator ports are taken
+// to be the same.
 func (f *fleet) hosts(ctx context.Context) ([]HostStatus, error) {
-	found := f.askAll(ctx, f.starts, "")
-	byHost := make(map[string]HostStatus)
-	for _, h := range found {
-		if h.Answered {
-			byHost[h.Host] = h
-		}
+	s := survey{byHost: make(map[string]HostStatus), peers: make(map[string]operator.Peer), asked: make(map[string]bool)}
+	next := f.starts
+	for range maxGuides {
+		s.add(f.askAll(ctx, next, ""))
+		next = s.guides()
 	}
-	if len(byHost) == 0 {
+	if !s.anyAnswered() {
 		return nil, fmt.Errorf("ask hosts at %v: %w", f.starts, errUnreachable)
 	}
-	// rest are the addresses of hosts known only through their peers.
-	var rest []string
-	peers := make(map[string]operator.Peer)
+	s.add(f.askAll(ctx, s.rest(), "?"+operator.WithoutPeers))
+	return sorted(s.byHost), nil
+}
+
+// A survey is what has been learnt of the hosts so far.
+type survey struct {
+	// byHost holds the hosts that answered, and those that did not by address.
+	byHost map[string]HostStatus
+	// peers holds by operator address the hosts of which others told.
+	peers map[string]operator.Peer
+	// asked holds the operator addresses that were asked.
+	asked map[string]bool
+}
+
+func (s survey) anyAnswered() bool {
+	for _, h := range s.byHost {
+		if h.Answered {
+			return true
+		}
+	}
+	return false
+}
+
+// add takes in answers.
+func (s survey) add(found []HostStatus) {
 	for _, h := range found {
+		s.asked[h.Address] = true
+		if !h.Answered {
+			s.byHost[h.Address] = h
+			continue
+		}
+		s.byHost[h.Host] = h
 		_, port, _ := net.SplitHostPort(h.Address)
 		for _, p := range h.Peers {
-			ip, _, err := net.SplitHostPort(p.Address)
-			if _, known := byHost[p.Host]; known || err != nil {
-				continue
+			if ip, _, err := net.SplitHostPort(p.Address); err == nil {
+				s.peers[net.JoinHostPort(ip, port)] = p
 			}
-			byHost[p.Host] = HostStatus{}
-			address := net.JoinHostPort(ip, port)
-			peers[address] = p
-			rest = append(rest, address)
 		}
 	}
-	for _, h := range f.askAll(ctx, rest, "?"+operator.WithoutPeers) {
-		if !h.Answered {
-			p := peers[h.Address]
+	for address, h := range s.byHost {
+		if p, known := s.peers[address]; known && !h.Answered {
 			h.Host, h.Zone, h.Service, h.Leaving = p.Host, p.Zone, p.Service, p.Leaving
+			s.byHost[address] = h
 		}
-		byHost[h.Host] = h
 	}
-	for _, h := range found {
-		if !h.Answered && !slices.Contains(rest, h.Address) {
-			byHost["address "+h.Address] = h
+}
+
+// guides returns the address of one host in each zone of which no host has told
+// its peers, as far as there are hosts left to ask.
+func (s survey) guides() []string {
+	covered := make(map[string]bool)
+	for _, h := range s.byHost {
+		covered[h.Zone] = covered[h.Zone] || h.Answered
+	}
+	var addresses []string
+	for _, address := range s.rest() {
+		if zone := s.peers[address].Zone; !covered[zone] {
+			covered[zone] = true
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// rest returns the addresses of hosts that were not asked, in order.
+func (s survey) rest() []string {
+	var addresses []string
+	for address, p := range s.peers {
+		if _, answered := s.byHost[p.Host]; !answered && !s.asked[address] {
+			addresses = append(addresses, address)
 		}
 	}
-	return sorted(byHost), nil
+	slices.Sort(addresses)
+	return addresses
 }
 
 func sorted(byHost map[string]HostStatus) []HostStatus {
--- a/internal/process/distribution/follower.go
+++ b/internal/process/distribution/follower.go
@@ -15,6 +15,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/version/configuration"
+	"github.com/bilberryvane/bilberryvane/member"
 )
 
 // The defaults and limits of a Follower.
@@ -53,7 +54,7 @@
 
 // Gossip spreads small rumours between all nodes.
 type Gossip interface {
-	Publish(topic, key string, payload []byte)
+	PublishRumour(r member.Rumour, lifetime time.Duration) error
 	Subscribe(topic string, receive func(key string, payload []byte))
 }
 
@@ -381,8 +382,18 @@
 		watch(next.snapshot)
 	}
 	f.log.Emit(event.ConfigurationInForce, log.Fields{"version": next.head.Version, "author": next.head.Author})
-	if payload, err := cbor.Marshal(Notice{Version: next.head.Version}); err == nil {
-		f.gossip.Publish(topic, topicKey, payload)
+	f.spread(next.head.Version)
+}
+
+// spread hands a version to gossip. The rumour's own version is that of the
+// configuration, so that the rumours of all nodes are one and the same.
+func (f *Follower) spread(version uint64) {
+	payload, err := cbor.Marshal(Notice{Version: version})
+	if err == nil {
+		err = f.gossip.PublishRumour(member.Rumour{Topic: topic, Key: topicKey, Version: version, Payload: payload}, 0)
+	}
+	if err != nil {
+		f.log.Emit(event.ConfigurationNoticeLost, log.Fields{"error": err.Error()})
 	}
 }
 
--- a/internal/process/distribution/follower_test.go
+++ b/internal/process/distribution/follower_test.go
@@ -23,6 +23,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/version/key"
+	"github.com/bilberryvane/bilberryvane/member"
 	standin "github.com/bilberryvane/bilberryvane/trial/platform"
 )
 
@@ -65,9 +66,10 @@
 	pool     pond.Pool
 	clock    clock.Clock
 
-	// mu guards nodes.
-	mu    sync.Mutex
-	nodes map[string]*node
+	// mu guards nodes and rumours.
+	mu      sync.Mutex
+	nodes   map[string]*node
+	rumours []member.Rumour
 }
 
 type node struct {
@@ -119,7 +121,12 @@
 	return peers
 }
 
-func (d *node) Publish(string, string, []byte) {}
+func (d *node) PublishRumour(r member.Rumour, _ time.Duration) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rumours = append(d.rumours, r)
+	return nil
+}
 
 func (d *node) Subscribe(string, func(string, []byte)) {}
 
@@ -204,6 +211,18 @@
 		is.True(!d.Snapshot().KeyActive("a") && d.Snapshot().KeyActive("b"))
 		is.True(d.KeysUsable())
 	}
+	eventually(t, "each node has spread both versions", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.rumours) == 2*len(nodes)
+	})
+	n.mu.Lock()
+	counts := map[string]int{}
+	for _, r := range n.rumours {
+		counts[fmt.Sprintf("%d %x", r.Version, r.Payload)]++
+	}
+	is.Equal(counts, map[string]int{"1 a10101": len(nodes), "2 a10102": len(nodes)}) // one rumour for each version, not one for each node
+	n.mu.Unlock()
 	_, err = registry.Publish(ctx, distribution.Change{ID: "3", Base: 2, Content: []byte("[service")})
 	is.True(err != nil) // a faulty document isn't accepted
 	server.SetFaults(standin.Faults{Down: true})
--- a/internal/process/distribution/rollout_bench_test.go
+++ b/internal/process/distribution/rollout_bench_test.go
@@ -19,6 +19,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/member"
 )
 
 // datagramOverhead is the size of the IP and UDP headers of a datagram, in bytes.
@@ -58,7 +59,7 @@
 	return peers
 }
 
-func (w *wire) Publish(string, string, []byte) {}
+func (w *wire) PublishRumour(member.Rumour, time.Duration) error { return nil }
 
 func (w *wire) Subscribe(string, func(string, []byte)) {}
 
--- a/internal/process/distribution/tracker_test.go
+++ b/internal/process/distribution/tracker_test.go
@@ -16,8 +16,8 @@
 // step is the time by which the fake fleet moves on.
 const step = 10 * time.Millisecond
 
-// A member is one node of the fake fleet.
-type member struct {
+// A participant is one node of the fake fleet.
+type participant struct {
 	self    distribution.Peer
 	tracker *distribution.Tracker
 	life    int
@@ -34,7 +34,7 @@
 	t       interface{ Fatalf(string, ...any) }
 	random  *rand.Rand
 	now     time.Time
-	members []*member
+	members []*participant
 	transit []delivery
 	head    uint64
 	down    bool
@@ -47,7 +47,7 @@
 	f := &fleet{t: t, random: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), cut: map[string]bool{}}
 	for z := range zones {
 		for h := range perZone {
-			f.members = append(f.members, &member{self: distribution.Peer{
+			f.members = append(f.members, &participant{self: distribution.Peer{
 				Host: fmt.Sprintf("host-%d-%d", z, h), Zone: fmt.Sprintf("zone-%d", z), Address: "x",
 			}})
 		}
@@ -83,7 +83,7 @@
 	}
 }
 
-func (f *fleet) peers(m *member) []distribution.Peer {
+func (f *fleet) peers(m *participant) []distribution.Peer {
 	var peers []distribution.Peer
 	for _, other := range f.members {
 		if other != m {
@@ -94,7 +94,7 @@
 }
 
 // later runs a step of a node that has not been restarted until then.
-func (f *fleet) later(m *member, run func()) {
+func (f *fleet) later(m *participant, run func()) {
 	life := m.life
 	wait := time.Duration(1+f.random.Intn(5)) * step
 	f.transit = append(f.transit, delivery{at: f.now.Add(wait), run: func() {
@@ -104,11 +104,11 @@
 	}})
 }
 
-func (f *fleet) reachable(a, b *member) bool {
+func (f *fleet) reachable(a, b *participant) bool {
 	return (a.self.Zone == b.self.Zone || (!f.cut[a.self.Zone] && !f.cut[b.self.Zone])) && f.random.Float64() >= f.loss
 }
 
-func (f *fleet) perform(m *member, actions []distribution.Action) {
+func (f *fleet) perform(m *participant, actions []distribution.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case distribution.ReadHead:
@@ -129,7 +129,7 @@
 	}
 }
 
-func (f *fleet) ask(m *member, a distribution.AskPeer) {
+func (f *fleet) ask(m *participant, a distribution.AskPeer) {
 	to, sent := f.find(a.Peer), f.now
 	answered := f.reachable(m, to)
 	offer := distribution.Offer{Head: to.tracker.Held()}
@@ -147,7 +147,7 @@
 }
 
 // installs checks that a node that moves moves up, and to what was published.
-func (f *fleet) installs(m *member, change func() []distribution.Action) {
+func (f *fleet) installs(m *participant, change func() []distribution.Action) {
 	before := m.tracker.Held().Version
 	actions := change()
 	for _, a := range actions {
@@ -161,8 +161,8 @@
 	f.perform(m, actions)
 }
 
-func (f *fleet) find(p distribution.Peer) *member {
-	i := slices.IndexFunc(f.members, func(m *member) bool { return m.self.Host == p.Host })
+func (f *fleet) find(p distribution.Peer) *participant {
+	i := slices.IndexFunc(f.members, func(m *participant) bool { return m.self.Host == p.Host })
 	return f.members[i]
 }
 
@@ -287,5 +287,5 @@
 
 // holds reports whether all nodes hold a version.
 func (f *fleet) holds(version uint64) bool {
-	return !slices.ContainsFunc(f.members, func(m *member) bool { return m.tracker.Held().Version != version })
+	return !slices.ContainsFunc(f.members, func(m *participant) bool { return m.tracker.Held().Version != version })
 }
