--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
+	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
 	"github.com/bilberryvane/bilberryvane/internal/request/registry"
 )
@@ -57,7 +58,8 @@
 	peerOptions []peer.Option
 	registry    *registry.Registry
 	backend     *backend.Client
-	admission   *admitter.Fixed
+	admission   *admitter.Admitter
+	strikes     *suspects.Broadcast
 	membership  *membership.Membership
 	directory   *directory.Directory
 	refusals    *refusals.Log
@@ -104,13 +106,12 @@
 // Start makes a node and begins to serve.
 func Start(s settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
-		settings:  s,
-		clock:     clock.System{},
-		log:       event.NewLog(log.Log),
-		registry:  registry.New(),
-		admission: admitter.NewFixed(s.Host.Name),
-		refusals:  refusals.NewLog(keptRefusals),
-		metrics:   metrics.New(),
+		settings: s,
+		clock:    clock.System{},
+		log:      event.NewLog(log.Log),
+		registry: registry.New(),
+		refusals: refusals.NewLog(keptRefusals),
+		metrics:  metrics.New(),
 	}
 	for _, o := range options {
 		o(n)
@@ -187,6 +188,7 @@
 	if err := n.operators.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down operators: %w", err)
 	}
+	n.strikes.Close()
 	if err := n.endpoint.Close(); err != nil {
 		return fmt.Errorf("close peers: %w", err)
 	}
--- a/internal/request/entry/entry_test.go
+++ b/internal/request/entry/entry_test.go
@@ -79,10 +79,17 @@
 
 func (p *parts) entry(r *registry.Registry) *entry.Entry {
 	return entry.New(entry.Parts{
-		Host: "host-1", Configuration: p, Rate: p, Claims: p, Forwarder: p, Recorder: p, Registry: r, Clock: clock.System{},
+		Host: "host-1", Configuration: p, Backpressure: noPressure{}, Rate: p, Claims: p, Forwarder: p, Recorder: p, Registry: r, Clock: clock.System{},
 	})
 }
 
+// noPressure lets all requests pass.
+type noPressure struct{}
+
+func (noPressure) Allow(call.Context) error { return nil }
+
+func (noPressure) Observe(call.Context, exchange.Answer) {}
+
 func (p *parts) Current() (configuration.Snapshot, bool) { return p.snapshot, true }
 
 func (p *parts) KeysUsable() bool { return !p.cutOff }
