--- a/trial/capacity/membership.go
+++ b/trial/capacity/membership.go
@@ -24,6 +24,7 @@
 	rumourPayload    = 16
 	membershipBound  = time.Minute
 	rackShare        = 40
+	suspicionTime    = 6 * time.Second
 	incarnationStart = 1767225600000
 )
 
@@ -69,6 +70,8 @@
 		"milliseconds until a rumour has reached every host",
 		"milliseconds until every host holds a crashed one dead",
 		"bytes per second and host in the 20 s after 1 in 40 hosts crashed at once",
+		"milliseconds until a draining host is out of every directory of the zone",
+		"the same, from 6 s after 1 in 40 hosts crashed at once",
 		"milliseconds until a joining host holds all members",
 		"bytes that a joining host sends and receives until then",
 	}
@@ -96,6 +99,7 @@
 	total, greatest, messages := traffic(n)
 	spread := spreadTime(n, n.Hosts[size/2])
 
+	drain := drainTime(n, n.Hosts[size/4])
 	joinBytes, joining := join(n)
 
 	n.Run(restTime)
@@ -110,11 +114,19 @@
 	}
 	n.Run(crashWindow)
 	crash, _, _ := traffic(n)
+
+	n.Run(restTime)
+	for i := range size / rackShare {
+		n.Kill(n.Hosts[size/8+i])
+	}
+	n.Run(suspicionTime)
+	busyDrain := drainTime(n, n.Hosts[size-1])
 	return []float64{
 		total / seconds / hosts, greatest / seconds, messages / seconds / hosts,
 		float64(used.Microseconds()) / seconds / hosts,
 		float64(spread.Milliseconds()), float64(detection.Milliseconds()),
 		crash / crashWindow.Seconds() / hosts,
+		float64(drain.Milliseconds()), float64(busyDrain.Milliseconds()),
 		float64(joining.Milliseconds()), joinBytes,
 	}
 }
@@ -151,6 +163,18 @@
 	return took
 }
 
+// drainTime drains a host and returns how long its zone takes to know of it.
+func drainTime(n *gossip.Network, leaving *gossip.Host) time.Duration {
+	n.Drain(leaving)
+	took, _ := n.RunUntil(membershipBound, func() bool {
+		return !slices.ContainsFunc(n.Hosts, func(h *gossip.Host) bool {
+			m, ok := h.Group.Lookup(leaving.Name)
+			return h.Running() && (!ok || !m.Draining)
+		})
+	})
+	return took
+}
+
 // heldDead reports whether every running host holds the given one dead.
 func heldDead(n *gossip.Network, victim *gossip.Host) bool {
 	return !slices.ContainsFunc(n.Hosts, func(h *gossip.Host) bool {
@@ -317,6 +341,6 @@
 		}
 	}
 	n.Introduce()
-	n.Run(settleTime)
+	n.Run(3 * settleTime)
 	return n
 }
