--- a/rate/grant.go
+++ b/rate/grant.go
@@ -1,6 +1,13 @@
 package rate
 
-import "time"
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvalidAsk reports a message whose quantities no bucket can have sent.
+var ErrInvalidAsk = eris.New("ask for tokens is not valid")
 
 // An Ask is what one bucket tells and asks a bucket above it. It is also the
 // only way by which tokens and limits go back: what it states as kept has
@@ -31,6 +38,13 @@
 	Loan bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Valid reports whether a bucket can have sent the Ask. Check what comes from
+// another process before Serve.
+func (a Ask) Valid() bool {
+	return a.Account != "" && a.Applied < a.Sequence && a.Kept.valid() && a.Floor.valid() &&
+		a.Returned.valid() && a.Demand.valid() && a.Need.valid() && a.Ahead.valid()
+}
+
 // A Grant answers an Ask. It replaces the Grant that was in effect before. It
 // ends a duration after the receiver sent the Ask, by the receiver's clock; the
 // giver counts the same duration from the later moment of its answer, plus the
@@ -55,6 +69,11 @@
 	RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
+// valid reports whether a bucket can have given the Grant.
+func (g Grant) valid() bool {
+	return g.Limit.valid() && g.Target.valid() && g.Tokens.valid() && g.RetryAfter >= 0
+}
+
 // A Request carries the Asks of one sender to one receiver.
 type Request struct {
 	// Sender is the identity of the sending process; a restarted process has
--- a/rate/ledger.go
+++ b/rate/ledger.go
@@ -249,8 +249,8 @@
 	v := Verdict{Decision: Refused, Ticket: ticket, Unavailable: true}
 	v.RetryAfter = max(p.expectedWait(now), s.pace)
 	for _, source := range p.bucket.sources {
-		answered := source.sequence != 0 && (!source.waiting || now.Sub(source.asked) < s.timeout)
-		if answered || source.active(now) {
+		lost := source.waiting && (source.unanswered > 0 || now.Sub(source.asked) >= s.timeout)
+		if source.active(now) || source.sequence != 0 && !lost {
 			v.Unavailable = false
 		}
 	}
--- a/rate/quantity.go
+++ b/rate/quantity.go
@@ -13,8 +13,9 @@
 // Token is one token: the right to admit one request.
 const Token Quantity = 1_000_000_000
 
-// MaxQuantity is the largest quantity that a limit may hold, 2^30 tokens.
-const MaxQuantity = Token << 30
+// MaxQuantity is the largest quantity that a limit may hold, 2^20 tokens: the
+// sum over thousands of buckets still fits.
+const MaxQuantity = Token << 20
 
 // Tokens returns a number of tokens as a Quantity, rounded down. Negative and
 // undefined numbers become zero; numbers above MaxQuantity become MaxQuantity.
@@ -28,6 +29,9 @@
 	return Quantity(math.Floor(count * float64(Token)))
 }
 
+// valid reports whether the quantity may stand in a message.
+func (q Quantity) valid() bool { return q >= 0 && q <= MaxQuantity }
+
 // Float returns the number of tokens, for display and estimates only.
 func (q Quantity) Float() float64 { return float64(q) / float64(Token) }
 
@@ -115,5 +119,8 @@
 	return Limit{Rate: max(l.Rate, other.Rate), Burst: max(l.Burst, other.Burst)}
 }
 
+// valid reports whether the limit may stand in a message.
+func (l Limit) valid() bool { return l.Rate.valid() && l.Burst.valid() }
+
 // IsZero reports whether both parts are zero.
 func (l Limit) IsZero() bool { return l == Limit{} }
--- a/rate/source.go
+++ b/rate/source.go
@@ -53,7 +53,8 @@
 	s.waiting = true
 	ask := Ask{
 		Account: account, Sequence: s.sequence, Applied: s.applied,
-		Demand: want.Demand, Need: want.Need, Ahead: want.Ahead, Loan: want.Loan,
+		Demand: min(want.Demand, MaxQuantity), Need: min(want.Need, MaxQuantity),
+		Ahead: min(want.Ahead, MaxQuantity), Loan: want.Loan,
 	}
 	if !s.active(now) {
 		s.limit = Limit{}
@@ -84,7 +85,7 @@
 func (b *Bucket) Apply(now time.Time, giver string, g Grant) bool {
 	b.settle(now)
 	s, ok := b.sources[giver]
-	if !ok || !s.waiting || g.Sequence != s.sequence {
+	if !ok || !s.waiting || g.Sequence != s.sequence || !g.valid() {
 		return false
 	}
 	s.waiting = false
