--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -38,12 +38,18 @@
 	return server, listener.Addr().String()
 }
 
+// longTarget keeps requests that wait for a taken slot from being shed.
+const longTarget = 30 * time.Second
+
 // followingFleet starts nodes that take their configuration from a platform.
 func followingFleet(t *testing.T) (*fleet, *platform.Server) {
 	t.Helper()
 	server, address := startPlatform(t)
 	l := twoServices()
 	l.Platform, l.Follow, l.Accounts = address, true, append(l.Accounts, deployment.Account{Name: "depot-sued", Rate: 1000, Burst: 100})
+	for i := range l.Classes {
+		l.Classes[i].Target = longTarget
+	}
 	d, err := deployment.Plan(t.TempDir(), l)
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(d.Publish())
@@ -164,6 +170,48 @@
 	}
 }
 
+// Requests cost the platform nothing: no write at all, and no reads beyond those
+// by which each zone's pollers look at the head.
+func TestRequestsCostPlatformNothing(t *testing.T) {
+	is := is.New(t)
+	f, server := followingFleet(t)
+	secret := f.deployment.Keys["depot-nord"]
+	for _, h := range f.deployment.Hosts {
+		f.until(h, secret, "", http.StatusOK)
+	}
+	f.untilWrites(server, configurationWrites+len(f.deployment.Hosts))
+	began, before := time.Now(), server.Counts()
+	for range 200 {
+		for _, h := range f.deployment.Hosts {
+			response, _ := f.send(h, http.MethodGet, "/stock/items", secret, "", nil)
+			is.Equal(response.StatusCode, http.StatusOK)
+		}
+	}
+	polls := time.Since(began)/distribution.PollInterval + 1
+	after := server.Counts()
+	is.Equal(after.Writes, before.Writes)
+	const slack = 2 // intervals vary by a tenth
+	is.True(after.Reads-before.Reads <= uint64(slack*int(polls)*len(f.deployment.Hosts)))
+}
+
+// configurationWrites is what the first configuration costs: its content and the head.
+const configurationWrites = 2
+
+// untilWrites waits until the platform has taken a number of writes: here those of
+// the first configuration and one announcement for each node's start.
+func (f *fleet) untilWrites(server *platform.Server, want int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		writes := server.Counts().Writes
+		if writes == uint64(want) {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("the platform took %d writes, want %d", writes, want)
+		}
+	}
+}
+
 func TestRestartedNodeServesWithPlatformDown(t *testing.T) {
 	is := is.New(t)
 	f, server := followingFleet(t)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,9 +24,12 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
+	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
 	"github.com/bilberryvane/bilberryvane/internal/request/registry"
 )
@@ -44,6 +47,9 @@
 	clock         clock.Clock
 	log           event.Log
 	configuration Configuration
+	// table and objects are the clients of the platform.
+	table   *platform.Table
+	objects *platform.Objects
 	// follower is nil where the configuration was given by an option.
 	follower    *distribution.Follower
 	followPool  pond.Pool
@@ -52,7 +58,9 @@
 	peerOptions []peer.Option
 	registry    *registry.Registry
 	backend     *backend.Client
-	admission   *admitter.Fixed
+	admission   *admitter.Admitter
+	strikes     *suspects.Broadcast
+	membership  *membership.Membership
 	directory   *directory.Directory
 	refusals    *refusals.Log
 	metrics     *metrics.Metrics
@@ -98,13 +106,12 @@
 // Start makes a node and begins to serve.
 func Start(s settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
-		settings:  s,
-		clock:     clock.System{},
-		log:       event.NewLog(log.Log),
-		registry:  registry.New(),
-		admission: admitter.NewFixed(s.Host.Name),
-		refusals:  refusals.NewLog(keptRefusals),
-		metrics:   metrics.New(),
+		settings: s,
+		clock:    clock.System{},
+		log:      event.NewLog(log.Log),
+		registry: registry.New(),
+		refusals: refusals.NewLog(keptRefusals),
+		metrics:  metrics.New(),
 	}
 	for _, o := range options {
 		o(n)
@@ -114,6 +121,10 @@
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
+	if err := n.join(); err != nil {
+		_ = n.endpoint.Close() // The first error is returned.
+		return nil, err
+	}
 	if err := n.listen(n.wire()); err != nil {
 		_ = n.endpoint.Close() // The first error is returned.
 		return nil, err
@@ -127,7 +138,7 @@
 
 // run starts the node's background tasks.
 func (n *Node) run(ctx context.Context) {
-	n.tasks.Go(func() { n.directory.Run(ctx) })
+	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
@@ -168,6 +179,7 @@
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
+	n.membership.Leave()
 	n.cancel()
 	n.tasks.Wait()
 	if err := n.local.Shutdown(ctx); err != nil {
@@ -176,6 +188,7 @@
 	if err := n.operators.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down operators: %w", err)
 	}
+	n.strikes.Close()
 	if err := n.endpoint.Close(); err != nil {
 		return fmt.Errorf("close peers: %w", err)
 	}
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -12,8 +12,15 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/identity"
 	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
+	"github.com/bilberryvane/bilberryvane/internal/connection/seal"
+	"github.com/bilberryvane/bilberryvane/internal/process/admitter"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
+	"github.com/bilberryvane/bilberryvane/internal/process/pressure"
+	"github.com/bilberryvane/bilberryvane/internal/process/retries"
+	"github.com/bilberryvane/bilberryvane/internal/process/router"
+	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/entry"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
@@ -48,22 +55,59 @@
 	return nil
 }
 
-// wire makes the parts that deal with requests and returns the entry to them.
-func (n *Node) wire() *entry.Entry {
-	own := directory.Node{
+// join makes the node's part in the membership.
+func (n *Node) join() error {
+	content, err := os.ReadFile(n.settings.Peers.GroupKey)
+	if err != nil {
+		return fmt.Errorf("%w: read group key: %w", ErrNoPeers, err)
+	}
+	groupKeys, err := seal.Parse(content)
+	if err != nil {
+		return fmt.Errorf("set up membership: %w", err)
+	}
+	self := membership.Self{
 		Host:    n.settings.Host.Name,
 		Zone:    n.settings.Host.Zone,
 		Address: n.endpoint.Address(),
 	}
-	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
+	n.reach()
+	n.membership = membership.New(self, membership.Parts{
+		Transport: n.endpoint,
+		Keys:      groupKeys,
+		Table:     n.table,
+		Clock:     n.clock,
+		Log:       n.log,
+		Seeds:     n.settings.Peers.Seeds,
+	})
+	return nil
+}
+
+// wire makes the parts that deal with requests and returns the entry to them.
+func (n *Node) wire() *entry.Entry {
+	host := n.settings.Host
+	n.directory = directory.New(n.membership)
 	n.follow()
-	executor := execute.New(n.settings.Host.Name, n.keys, n.admission, noQuarantine{},
-		n.backend, n.registry, n.clock)
+	n.admission = admitter.New(host.Name, newTargets(n.configuration), n.clock)
+	n.strikes = suspects.NewBroadcast(host.Name, n.membership, n.endpoint)
+	watch := suspects.NewWatch(host.Name, n.membership.Self().Incarnation, n.strikes, n.strikes, n.clock, n.log)
+	n.endpoint.Handle(suspects.KindStrikes, watch.Receive)
+	n.strikes.Subscribe(watch.Hear)
+	executor := execute.New(execute.Parts{
+		Host:       host.Name,
+		Keys:       n.keys,
+		Admission:  n.admission,
+		Quarantine: watch,
+		Backend:    n.backend,
+		Registry:   n.registry,
+		Clock:      n.clock,
+	})
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
-	forwarder := forward.New(n.directory, noBudget{}, executor, n.endpoint, n.clock)
+	chooser := router.New(host.Name, host.Zone, n.membership, watch, n.clock)
+	forwarder := forward.New(chooser, retries.New(n.clock), executor, n.endpoint, n.clock)
 	return entry.New(entry.Parts{
-		Host:          n.settings.Host.Name,
+		Host:          host.Name,
 		Configuration: n.configuration,
+		Backpressure:  pressure.NewGate(n.clock),
 		Rate:          noRate{},
 		Claims:        noClaims{},
 		Forwarder:     forwarder,
@@ -111,23 +155,6 @@
 	})
 }
 
-// noQuarantine holds back no request.
-type noQuarantine struct{}
-
-// Enter lets the request through.
-func (noQuarantine) Enter(context.Context, exchange.Request) (func(execute.Result), error) {
-	return func(execute.Result) {}, nil
-}
-
-// noBudget leaves retries to the allowance of attempts.
-type noBudget struct{}
-
-// Allow allows the retry.
-func (noBudget) Allow(string) bool { return true }
-
-// Success counts nothing.
-func (noBudget) Success(string) {}
-
 // noRate holds no account to its rate.
 type noRate struct{}
 
