Let a holder go on where nobody else held its shard

Cause: a change of a shard's group gives the same process the next epoch, and a pause may let its lease lapse; a new ledger would then wait for grants that this process itself gave and remembers. Ruled out: going on whenever this process holds the shard again, since another holder may have given grants in between. Change: a seat keeps its ledger in its own epoch and the next one; in any other it starts anew and waits.

--- a/internal/process/allotment/allotment.go
+++ b/internal/process/allotment/allotment.go
@@ -43,7 +43,7 @@
 
 // A Tenure is the time in which this node alone holds a shard.
 type Tenure struct {
-	// Epoch differs between two tenures of one shard.
+	// Epoch goes up by one whenever the shard gets a holder, the same or another.
 	Epoch uint64
 	// From is when it began: no earlier holder gives tokens at or after it.
 	From time.Time
@@ -57,6 +57,8 @@
 	Held(shard string) (Tenure, bool)
 	// HolderAddress returns the peer address of a shard's holder, if known.
 	HolderAddress(shard string) (string, bool)
+	// Forget drops the address of a holder that does not answer for the shard.
+	Forget(shard string)
 }
 
 // A Sender sends a message to another node and returns the reply.
--- a/internal/process/allotment/allotment_test.go
+++ b/internal/process/allotment/allotment_test.go
@@ -113,6 +113,9 @@
 	return t.node.endpoint.Address(), true
 }
 
+// Forget does nothing: the elections are always known.
+func (n *node) Forget(string) {}
+
 // Call sends a message over the endpoint.
 func (n *node) Call(ctx context.Context, address string, kind uint16, body []byte) ([]byte, error) {
 	return n.endpoint.Call(ctx, address, peer.Kind(kind), body)
@@ -311,3 +314,36 @@
 		is.True(errors.Is(err, tt.want)) // the request is refused
 	}
 }
+
+// fetch asks a node, as a host that holds nothing, for one token.
+func fetch(t *testing.T, n *node, sender string) rate.Grant {
+	t.Helper()
+	is := is.New(t)
+	ask := rate.Ask{Account: account, Sequence: 1, Need: rate.Token}
+	request := rate.Request{Sender: sender, Receiver: allotment.ShardOf("a", account).String(), Asks: []rate.Ask{ask}}
+	body, err := cbor.Marshal(request)
+	is.NoErr(err)
+	raw, err := n.Handle(t.Context(), "a9", body)
+	is.NoErr(err)
+	var reply rate.Reply
+	is.NoErr(cbor.Unmarshal(raw, &reply))
+	is.Equal(len(reply.Grants), 1)
+	return reply.Grants[0]
+}
+
+// TestSeatGoesOnOnlyIfNobodyElseHeldIt: the same process in the next epoch still
+// knows its grants; after another holder it has to wait for that one's.
+func TestSeatGoesOnOnlyIfNobodyElseHeldIt(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	n, other := f.nodes["a"][0], f.nodes["a"][1]
+	fetch(t, n, "a9#1")
+	time.Sleep(2 * duration)
+	is.Equal(fetch(t, n, "a9#2").Tokens, rate.Token)
+	f.elect("a", n, time.Now())
+	is.Equal(fetch(t, n, "a9#3").Tokens, rate.Token) // nobody else held it
+	f.elect("a", other, time.Now())
+	fetch(t, other, "a9#4")
+	f.elect("a", n, time.Now())
+	is.Equal(fetch(t, n, "a9#5").Tokens, rate.Quantity(0)) // the other's grants may be in effect
+}
--- a/internal/process/allotment/seat.go
+++ b/internal/process/allotment/seat.go
@@ -92,8 +92,7 @@
 // tenure says; seatsMu must be held.
 func (s *Service) seat(name string) (*seat, bool) {
 	tenure, ok := s.parts.Holders.Held(name)
-	if !ok {
-		delete(s.seats, name)
+	if !ok || tenure.From.IsZero() {
 		return nil, false
 	}
 	shard, err := ParseShard(name)
@@ -106,12 +105,13 @@
 	}
 	now := s.parts.Clock.Now()
 	held, ok := s.seats[name]
-	if !ok || held.epoch != tenure.Epoch {
+	if !ok || !held.continues(tenure) {
 		held = s.newSeat(shard, tenure)
 		held.version = snapshot.Version()
 		s.seats[name] = held
 	}
-	held.ledger.Extend(now, tenure.Until)
+	held.epoch = tenure.Epoch
+	held.ledger.Resume(now, tenure.Until)
 	if held.version != snapshot.Version() {
 		held.version = snapshot.Version()
 		held.ledger.Configure(now)
@@ -119,6 +119,12 @@
 	return held, true
 }
 
+// continues reports whether nobody else can have held the shard since the seat's
+// last tenure. Epochs go up by one, each has one holder, and a seat lives in the
+// memory of one process; so in its own epoch and the next one the seat still
+// knows every grant, and what it gave need not be waited for.
+func (h *seat) continues(t Tenure) bool { return t.Epoch == h.epoch || t.Epoch == h.epoch+1 }
+
 func (s *Service) newSeat(shard Shard, t Tenure) *seat {
 	s.parts.Log.Emit(event.RateHolderBegan, log.Fields{"shard": shard.String(), "epoch": t.Epoch})
 	identity := fmt.Sprintf("%s/%s/%d", s.identity, shard, t.Epoch)
--- a/rate/bucket.go
+++ b/rate/bucket.go
@@ -91,6 +91,13 @@
 	return true
 }
 
+// Resume moves the end of the holder's tenure also if it has passed. Use it only
+// where it is sure that nobody else held the share in between.
+func (b *Bucket) Resume(now, until time.Time) {
+	b.settle(now)
+	b.own.until = latest(b.own.until, until)
+}
+
 // Configure changes the share that the holder owns. A lower share takes effect
 // as grants are renewed, at the latest when they have all ended.
 func (b *Bucket) Configure(now time.Time, share Limit) {
--- a/rate/ledger.go
+++ b/rate/ledger.go
@@ -114,6 +114,15 @@
 	return true
 }
 
+// Resume moves the end of a holder's tenure also if it has passed. Use it only
+// where it is sure that nobody else was the holder in between.
+func (l *Ledger) Resume(now, until time.Time) {
+	l.tenure.Until = latest(l.tenure.Until, until)
+	for _, p := range l.positions {
+		p.bucket.Resume(now, l.tenure.Until)
+	}
+}
+
 // Configure reads a holder's shares again after the configuration changed.
 func (l *Ledger) Configure(now time.Time) {
 	for account, p := range l.positions {
