--- a/rate/ledger.go
+++ b/rate/ledger.go
@@ -114,6 +114,15 @@
 	return true
 }
 
+// Resume moves the end of a holder's tenure also if it has passed. Use it only
+// where it is sure that nobody else was the holder in between.
+func (l *Ledger) Resume(now, until time.Time) {
+	l.tenure.Until = latest(l.tenure.Until, until)
+	for _, p := range l.positions {
+		p.bucket.Resume(now, l.tenure.Until)
+	}
+}
+
 // Configure reads a holder's shares again after the configuration changed.
 func (l *Ledger) Configure(now time.Time) {
 	for account, p := range l.positions {
@@ -249,8 +258,8 @@
 	v := Verdict{Decision: Refused, Ticket: ticket, Unavailable: true}
 	v.RetryAfter = max(p.expectedWait(now), s.pace)
 	for _, source := range p.bucket.sources {
-		answered := source.sequence != 0 && (!source.waiting || now.Sub(source.asked) < s.timeout)
-		if answered || source.active(now) {
+		lost := source.waiting && (source.unanswered > 0 || now.Sub(source.asked) >= s.timeout)
+		if source.active(now) || source.sequence != 0 && !lost {
 			v.Unavailable = false
 		}
 	}
