Answer callers once a starting node can serve them

Ruled out: a fixed delay; refusing connections, because a caller that just connected is better served 100 ms later. Change: the address is open at once, answers begin when the node holds a configuration and knows another node, or after 2 s.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -50,24 +50,32 @@
 type Server struct {
 	http     *fasthttp.Server
 	listener net.Listener
+	// serving says that Serve was called.
+	serving atomic.Bool
 	// closing makes each answer the last of its connection.
 	closing atomic.Bool
 }
 
-// ListenCallers serves clients on an address.
+// ListenCallers opens an address for clients. They can connect at once, and are
+// answered after Serve.
 func ListenCallers(address string, l Limits, s Service) (*Server, error) {
 	return listen(address, l, func(ctx *fasthttp.RequestCtx) { serve(ctx, s.Serve) })
 }
 
 // ListenBackend serves the calls and announcements of the own backend server.
 func ListenBackend(address string, l Limits, s Service, a Announcer) (*Server, error) {
-	return listen(address, l, func(ctx *fasthttp.RequestCtx) {
+	server, err := listen(address, l, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == AnnouncePath {
 			announce(ctx, a)
 			return
 		}
 		serve(ctx, s.ServeChild)
 	})
+	if err != nil {
+		return nil, err
+	}
+	server.Serve()
+	return server, nil
 }
 
 func listen(address string, l Limits, handler fasthttp.RequestHandler) (*Server, error) {
@@ -92,10 +100,16 @@
 		CloseOnShutdown:       true,
 		Logger:                silent{},
 	}
-	go func() { _ = s.http.Serve(lingeringListener{listener}) }() // Ends with Shutdown.
 	return s, nil
 }
 
+// Serve begins to answer. Further calls do nothing.
+func (s *Server) Serve() {
+	if s.serving.CompareAndSwap(false, true) {
+		go func() { _ = s.http.Serve(lingeringListener{s.listener}) }() // Ends with Shutdown.
+	}
+}
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -106,6 +120,9 @@
 // Shutdown takes no new connections and returns when all requests are answered
 // or the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if s.serving.CompareAndSwap(false, true) {
+		return s.listener.Close()
+	}
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("shut down HTTP server: %w", err)
 	}
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -6,6 +6,7 @@
 var (
 	NodeStarted      = define(1000, "node-started", log.InfoLevel, "The node has started and listens.")
 	NodeLeaving      = define(1001, "node-leaving", log.InfoLevel, "The node takes no new work and finishes what is in flight.")
+	NodeServes       = define(1005, "node-serves", log.InfoLevel, "The node answers callers; it is ready unless its start took too long.")
 	NodeStopped      = define(1002, "node-stopped", log.InfoLevel, "The node has stopped with nothing in flight.")
 	StartFailed      = define(1003, "start-failed", log.ErrorLevel, "The node could not start; the error tells why.")
 	WorkerPanic      = define(1004, "worker-panic", log.ErrorLevel, "A task ended by a panic; the request was answered with outcome unknown.")
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -140,6 +140,7 @@
 func (n *Node) run(ctx context.Context) {
 	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
+	n.tasks.Go(func() { n.serveWhenReady(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
 			n.follower.Run(ctx)
