--- a/admission/limit.go
+++ b/admission/limit.go
@@ -140,7 +140,7 @@
 		w.samples++
 	}
 	total := w.samples + w.rejected
-	full := total >= max(windowSamples, l.Value())
+	full := total >= max(l.windowLength(), l.Value())
 	late := total >= fewestSamples && now.Sub(w.start) >= windowTime
 	if full || late {
 		l.decide()
@@ -148,6 +148,15 @@
 	}
 }
 
+// windowLength is the number of completions in a window; slow start needs less
+// certainty than a step down.
+func (l *Limit) windowLength() int {
+	if l.starting {
+		return fewestSamples
+	}
+	return windowSamples
+}
+
 // decide moves the limit by the window that has ended.
 func (l *Limit) decide() {
 	w := l.window
