Call a refusal not run only if no try may have run

Cause: when the first try of an idempotent call was lost and the next was refused before it ran, the caller was told 'not run'. Change: the outcome of such a refusal is unknown. Conclusion: the test was red before the change (not-run, want unknown).

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -81,31 +81,45 @@
 }
 
 // Forward sends the request until it is answered, must not be tried again or has
-// used up its allowance. The answer says how much of the allowance is left.
+// used up its allowance. The answer says how much of the allowance is left. A
+// refusal is "not run" only if that holds for every try.
 func (f *Forwarder) Forward(ctx context.Context, r exchange.Request) exchange.Answer {
+	answer, mayHaveRun := f.tries(ctx, r)
+	if answer.Refusal != nil && answer.Refusal.Outcome == refusal.NotRun && mayHaveRun {
+		unknown := answer.Refusal.WithOutcome(refusal.Unknown)
+		answer.Refusal = &unknown
+	}
+	return answer
+}
+
+// tries sends the request to one node after the other. The second result says
+// that a try may have run although its answer is not the one returned.
+func (f *Forwarder) tries(ctx context.Context, r exchange.Request) (exchange.Answer, bool) {
+	mayHaveRun := false
 	attempts := r.Context.Attempts
 	last := exchange.Refused(refusal.New(refusal.AttemptsUsedUp))
 	var excluded []string
 	for tries := 0; attempts > 0; tries++ {
 		if r.Context.Expired(f.clock.Now()) {
-			return f.expired(last, tries).WithUnusedAttempts(attempts)
+			return f.expired(last, tries).WithUnusedAttempts(attempts), mayHaveRun
 		}
 		if tries > 0 && !f.budget.Allow(r.Context.Service) {
-			return last.WithUnusedAttempts(attempts)
+			return last.WithUnusedAttempts(attempts), mayHaveRun
 		}
 		target, err := f.router.Pick(r.Context, excluded)
 		if err != nil {
-			return unroutable(err, last, tries).WithUnusedAttempts(attempts)
+			return unroutable(err, last, tries).WithUnusedAttempts(attempts), mayHaveRun
 		}
 		lent := max(1, attempts-reservedAttempts)
 		last = f.try(ctx, target, r.WithContext(r.Context.WithAttempts(lent)))
 		attempts += min(lent, last.UnusedAttempts) - lent
 		if !retryable(r.Context, last) || ctx.Err() != nil {
-			return last.WithUnusedAttempts(attempts)
+			return last.WithUnusedAttempts(attempts), mayHaveRun
 		}
+		mayHaveRun = mayHaveRun || last.Refusal.Outcome != refusal.NotRun
 		excluded = append(excluded, target.Host)
 	}
-	return last.WithUnusedAttempts(0)
+	return last.WithUnusedAttempts(0), mayHaveRun
 }
 
 // unroutable keeps the refusal of an earlier try, which tells more than that no
