--- a/internal/connection/peer/endpoint.go
+++ b/internal/connection/peer/endpoint.go
@@ -8,7 +8,9 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +32,9 @@
 	keepAlivePeriod = time.Second
 	// handshakeTimeout bounds the start of a connection.
 	handshakeTimeout = time.Second
+	// idleClose is the time after which an unused connection is closed: it bounds
+	// the connections of a node to those that its present calls need.
+	idleClose = time.Minute
 	// maxStreams bounds the messages in flight from one peer.
 	maxStreams = 4096
 	// callWorkers and controlWorkers bound the messages handled at once. Control
@@ -82,8 +87,31 @@
 	links    map[string]*link
 }
 
+// An Option changes how an endpoint is opened.
+type Option func(*options)
+
+type options struct {
+	socket    func(net.PacketConn) net.PacketConn
+	idleClose time.Duration
+}
+
+// WithSocket puts a layer of the caller's own around the UDP socket, such as one
+// that drops packets to show a network partition.
+func WithSocket(wrap func(net.PacketConn) net.PacketConn) Option {
+	return func(o *options) { o.socket = wrap }
+}
+
+// WithIdleClose sets the time after which an unused connection is closed.
+func WithIdleClose(after time.Duration) Option {
+	return func(o *options) { o.idleClose = after }
+}
+
 // Listen opens an endpoint on a UDP address.
-func Listen(address string, tlsConfig *tls.Config) (*Endpoint, error) {
+func Listen(address string, tlsConfig *tls.Config, choices ...Option) (*Endpoint, error) {
+	chosen := options{socket: func(c net.PacketConn) net.PacketConn { return c }, idleClose: idleClose}
+	for _, choose := range choices {
+		choose(&chosen)
+	}
 	local, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("read peer address %q: %w", address, err)
@@ -93,7 +121,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	e := &Endpoint{
-		transport: &quic.Transport{Conn: socket},
+		transport: &quic.Transport{Conn: chosen.socket(socket)},
 		tls:       tlsConfig,
 		quic: &quic.Config{
 			HandshakeIdleTimeout: handshakeTimeout,
@@ -114,6 +142,7 @@
 		return nil, fmt.Errorf("listen for QUIC: %w", err)
 	}
 	e.accepting.Go(e.accept)
+	e.accepting.Go(func() { e.closeIdle(chosen.idleClose) })
 	return e, nil
 }
 
@@ -160,6 +189,25 @@
 	return nil
 }
 
+// closeIdle looks for unused connections until the endpoint is closed.
+func (e *Endpoint) closeIdle(after time.Duration) {
+	ticker := time.NewTicker(after)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-e.ctx.Done():
+			return
+		}
+		e.mu.RLock()
+		links := slices.Collect(maps.Values(e.links))
+		e.mu.RUnlock()
+		for _, l := range links {
+			l.closeIdle()
+		}
+	}
+}
+
 func (e *Endpoint) handler(k Kind) (Handler, bool) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
@@ -21,12 +22,15 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/burn"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
+	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
 	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
-	"github.com/bilberryvane/bilberryvane/internal/request/entry"
+	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
 	"github.com/bilberryvane/bilberryvane/internal/request/registry"
 )
 
@@ -42,22 +46,31 @@
 	settings      settings.Settings
 	clock         clock.Clock
 	log           event.Log
-	configuration entry.Configuration
-	endpoint      *peer.Endpoint
-	registry      *registry.Registry
-	backend       *backend.Client
-	admission     *admitter.Admitter
-	strikes       *suspects.Broadcast
-	directory     *directory.Directory
-	refusals      *refusals.Log
-	metrics       *metrics.Metrics
-	burn          *burn.Recorder
-	callers       *caller.Server
-	local         *caller.Server
-	operators     *operator.Server
-	tasks         sync.WaitGroup
-	cancel        context.CancelFunc
-	leaving       atomic.Bool
+	configuration Configuration
+	// table and objects are the clients of the platform.
+	table   *platform.Table
+	objects *platform.Objects
+	// follower is nil where the configuration was given by an option.
+	follower    *distribution.Follower
+	followPool  pond.Pool
+	keys        *withdrawal.Guard
+	endpoint    *peer.Endpoint
+	peerOptions []peer.Option
+	registry    *registry.Registry
+	backend     *backend.Client
+	admission   *admitter.Admitter
+	strikes     *suspects.Broadcast
+	membership  *membership.Membership
+	directory   *directory.Directory
+	refusals    *refusals.Log
+	metrics     *metrics.Metrics
+	burn        *burn.Recorder
+	callers     *caller.Server
+	local       *caller.Server
+	operators   *operator.Server
+	tasks       sync.WaitGroup
+	cancel      context.CancelFunc
+	leaving     atomic.Bool
 
 	// mu guards announced.
 	mu        sync.Mutex
@@ -79,11 +92,17 @@
 // WithLogger makes the node log through another logger.
 func WithLogger(l log.Interface) Option { return func(n *Node) { n.log = event.NewLog(l) } }
 
-// WithConfiguration makes the node use a source of configurations.
-func WithConfiguration(c entry.Configuration) Option {
+// WithConfiguration makes the node use a source of configurations in place of
+// the platform and its peers.
+func WithConfiguration(c Configuration) Option {
 	return func(n *Node) { n.configuration = c }
 }
 
+// WithPeerOptions changes how the endpoint towards other nodes is opened.
+func WithPeerOptions(o ...peer.Option) Option {
+	return func(n *Node) { n.peerOptions = append(n.peerOptions, o...) }
+}
+
 // Start makes a node and begins to serve.
 func Start(s settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
@@ -98,11 +117,14 @@
 		o(n)
 	}
 	n.backend = backend.NewClient(n.clock)
-	n.admission = admitter.New(s.Host.Name, newTargets(n.configuration), n.clock)
 	n.burn = burn.NewRecorder(s.Host.Name, n.clock)
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
+	if err := n.join(); err != nil {
+		_ = n.endpoint.Close() // The first error is returned.
+		return nil, err
+	}
 	if err := n.listen(n.wire()); err != nil {
 		_ = n.endpoint.Close() // The first error is returned.
 		return nil, err
@@ -116,8 +138,14 @@
 
 // run starts the node's background tasks.
 func (n *Node) run(ctx context.Context) {
-	n.tasks.Go(func() { n.directory.Run(ctx) })
+	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
+	if n.follower != nil {
+		n.tasks.Go(func() {
+			n.follower.Run(ctx)
+			n.followPool.StopAndWait()
+		})
+	}
 }
 
 // Addresses are the addresses that a running node listens on.
@@ -151,6 +179,7 @@
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
+	n.membership.Leave()
 	n.cancel()
 	n.tasks.Wait()
 	if err := n.local.Shutdown(ctx); err != nil {
--- a/internal/process/node/overload_test.go
+++ b/internal/process/node/overload_test.go
@@ -232,8 +232,36 @@
 	is.True(strings.Contains(last, "attempts-used-up"))
 }
 
+// waitKnown waits until every node knows so many hosts of a service.
+func (f *fleet) waitKnown(service string, hosts int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		fewest := hosts
+		for _, h := range f.hosts {
+			status := h.Node.Status()
+			known := 0
+			if status.Service == service {
+				known++
+			}
+			for _, p := range status.Peers {
+				if p.Service == service {
+					known++
+				}
+			}
+			fewest = min(fewest, known)
+		}
+		if fewest == hosts {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("a node knows %d hosts of %s, want %d", fewest, service, hosts)
+		}
+	}
+}
+
 // A request that crashes each backend server that runs it is sent again through
-// every node. It crashes two at most, and requests beside it are answered.
+// every node, once these know each other. It crashes two at most, and requests
+// beside it are answered.
 func TestPoisonRequestCrashesAtMostTwo(t *testing.T) {
 	is := is.New(t)
 	l := twoServices()
@@ -248,6 +276,7 @@
 			}
 		}
 	}})
+	f.waitKnown("stock", 4)
 	secret := f.deployment.Keys["depot-nord"]
 	stop := make(chan struct{})
 	var beside sync.WaitGroup
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -12,8 +12,11 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/identity"
 	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
+	"github.com/bilberryvane/bilberryvane/internal/connection/seal"
+	"github.com/bilberryvane/bilberryvane/internal/process/admitter"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/membership"
 	"github.com/bilberryvane/bilberryvane/internal/process/pressure"
 	"github.com/bilberryvane/bilberryvane/internal/process/retries"
 	"github.com/bilberryvane/bilberryvane/internal/process/router"
@@ -45,29 +48,54 @@
 	if err != nil {
 		return fmt.Errorf("set up peer authentication: %w", err)
 	}
-	n.endpoint, err = peer.Listen(n.settings.Listen.Peers, tlsConfig)
+	n.endpoint, err = peer.Listen(n.settings.Listen.Peers, tlsConfig, n.peerOptions...)
 	if err != nil {
 		return fmt.Errorf("open peer endpoint: %w", err)
 	}
 	return nil
 }
 
+// join makes the node's part in the membership.
+func (n *Node) join() error {
+	content, err := os.ReadFile(n.settings.Peers.GroupKey)
+	if err != nil {
+		return fmt.Errorf("%w: read group key: %w", ErrNoPeers, err)
+	}
+	groupKeys, err := seal.Parse(content)
+	if err != nil {
+		return fmt.Errorf("set up membership: %w", err)
+	}
+	self := membership.Self{
+		Host:    n.settings.Host.Name,
+		Zone:    n.settings.Host.Zone,
+		Address: n.endpoint.Address(),
+	}
+	n.reach()
+	n.membership = membership.New(self, membership.Parts{
+		Transport: n.endpoint,
+		Keys:      groupKeys,
+		Table:     n.table,
+		Clock:     n.clock,
+		Log:       n.log,
+		Seeds:     n.settings.Peers.Seeds,
+	})
+	return nil
+}
+
 // wire makes the parts that deal with requests and returns the entry to them.
 func (n *Node) wire() *entry.Entry {
 	host := n.settings.Host
-	own := directory.Node{
-		Host:        host.Name,
-		Zone:        host.Zone,
-		Address:     n.endpoint.Address(),
-		Incarnation: uint64(n.clock.Now().UnixNano()),
-	}
-	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
-	n.strikes = suspects.NewBroadcast(host.Name, n.directory, n.endpoint)
-	watch := suspects.NewWatch(host.Name, own.Incarnation, n.strikes, n.strikes, n.clock, n.log)
+	n.directory = directory.New(n.membership)
+	n.follow()
+	n.admission = admitter.New(host.Name, newTargets(n.configuration), n.clock)
+	n.strikes = suspects.NewBroadcast(host.Name, n.directory, n.endpoint, n.membership)
+	incarnation := uint64(n.clock.Now().UnixNano())
+	watch := suspects.NewWatch(host.Name, incarnation, n.directory, n.strikes, n.clock, n.log)
 	n.endpoint.Handle(suspects.KindStrikes, watch.Receive)
+	n.membership.Subscribe(suspects.Topic, watch.Heard)
 	executor := execute.New(execute.Parts{
 		Host:       host.Name,
-		Keys:       keys{n.configuration},
+		Keys:       n.keys,
 		Admission:  n.admission,
 		Quarantine: watch,
 		Backend:    n.backend,
@@ -128,15 +156,6 @@
 	})
 }
 
-// keys tells whether keys work by the configuration in force.
-type keys struct{ configuration entry.Configuration }
-
-// KeyActive reports whether the key stands in the configuration in force.
-func (k keys) KeyActive(id string) bool {
-	snapshot, ok := k.configuration.Current()
-	return ok && snapshot.KeyActive(id)
-}
-
 // noRate holds no account to its rate.
 type noRate struct{}
 
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -10,19 +10,19 @@
 	"time"
 
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
-	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/forward"
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
+	"github.com/bilberryvane/bilberryvane/member"
 	"github.com/bilberryvane/bilberryvane/routing"
 )
 
 // refreshPeriod is how old the nodes of a service may be.
 const refreshPeriod = 100 * time.Millisecond
 
-// A Directory knows the nodes that take calls.
+// A Directory knows the nodes that take new work.
 type Directory interface {
-	Nodes() []directory.Node
+	Offering(service string) []member.Node
 }
 
 // Suspects tells where a request must run that may crash backend servers.
@@ -135,15 +135,10 @@
 	s.addresses = make(map[string]string)
 	s.hosts = nil
 	var nodes []routing.Node
-	for _, n := range r.directory.Nodes() {
-		if n.Service != name {
-			continue
-		}
-		nodes = append(nodes, routing.Node{Host: n.Host, Zone: n.Zone, Incarnation: n.Incarnation, Leaving: n.Leaving})
+	for _, n := range r.directory.Offering(name) {
+		nodes = append(nodes, routing.Node{Host: n.Host, Zone: n.Zone, Incarnation: n.Incarnation})
 		s.addresses[n.Host] = n.Address
-		if !n.Leaving {
-			s.hosts = append(s.hosts, n.Host)
-		}
+		s.hosts = append(s.hosts, n.Host)
 	}
 	s.router.SetNodes(now, nodes)
 	return s
--- a/internal/process/settings/options.go
+++ b/internal/process/settings/options.go
@@ -17,6 +17,7 @@
 	maxQueue       = 1 << 16
 	minTimeout     = time.Millisecond
 	maxTimeout     = 10 * time.Minute
+	maxKeyBound    = 30 * 24 * time.Hour
 )
 
 var options = []option{
@@ -99,6 +100,11 @@
 		section: "peers", key: "private-key", required: true, about: "The file with the node's private key.",
 		read: func(r *Settings, s *document.Section, k string) { r.Peers.PrivateKey = s.Text(k, "") },
 	},
+	{
+		section: "peers", key: "group-key", required: true,
+		about: "The file with the keys that authenticate membership messages: 64 hexadecimal digits a line, the first one seals.",
+		read:  func(r *Settings, s *document.Section, k string) { r.Peers.GroupKey = s.Text(k, "") },
+	},
 	{
 		section: "limits", key: "header-bytes", standard: "16384", about: "The largest size of a request's headers.",
 		read: func(r *Settings, s *document.Section, k string) {
@@ -141,6 +147,13 @@
 			r.Timing.AnnounceExpiry = s.Duration(k, 3*time.Second, minTimeout, maxTimeout)
 		},
 	},
+	{
+		section: "keys", key: "bound", standard: "24h",
+		about: "How long a node that is cut off from the platform and from all nodes that reach it trusts its keys; 0s is without end.",
+		read: func(r *Settings, s *document.Section, k string) {
+			r.Keys.Bound = s.Duration(k, 24*time.Hour, 0, maxKeyBound)
+		},
+	},
 }
 
 func readBackendAddress(r *Settings, s *document.Section, key string) {
--- a/internal/process/suspects/broadcast.go
+++ b/internal/process/suspects/broadcast.go
@@ -7,12 +7,16 @@
 	"github.com/alitto/pond/v2"
 
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
-	"github.com/bilberryvane/bilberryvane/internal/process/directory"
+	"github.com/bilberryvane/bilberryvane/member"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 // KindStrikes carries strikes and clearances between nodes.
 const KindStrikes peer.Kind = 50
 
+// Topic is that of strikes and clearances in gossip.
+const Topic = "strikes"
+
 const (
 	// publishTimeout bounds the time that an answer waits for its strikes to spread.
 	publishTimeout = 200 * time.Millisecond
@@ -25,31 +29,40 @@
 	Call(ctx context.Context, address string, k peer.Kind, body []byte) ([]byte, error)
 }
 
-// A Directory knows the other nodes.
+// A Directory knows the nodes that take new work.
 type Directory interface {
-	Nodes() []directory.Node
+	Offering(service string) []member.Node
+}
+
+// Gossip spreads a small value to every node sooner or later.
+type Gossip interface {
+	PublishRumour(r member.Rumour, lifetime time.Duration) error
 }
 
-// A Broadcast sends rumours straight to all nodes that the directory knows. It
-// is safe for concurrent use.
+// A Broadcast sends rumours straight to the nodes of the service that they concern
+// and gossips them to all others. It is safe for concurrent use.
 type Broadcast struct {
 	host      string
 	directory Directory
 	sender    Sender
+	gossip    Gossip
 	pool      pond.Pool
 }
 
 // NewBroadcast returns a Broadcast of a host.
-func NewBroadcast(host string, d Directory, s Sender) *Broadcast {
-	return &Broadcast{host: host, directory: d, sender: s, pool: pond.NewPool(maxSends)}
+func NewBroadcast(host string, d Directory, s Sender, g Gossip) *Broadcast {
+	return &Broadcast{host: host, directory: d, sender: s, gossip: g, pool: pond.NewPool(maxSends)}
 }
 
-// Publish sends the payload to all nodes and waits for them, but not for long.
-func (b *Broadcast) Publish(payload []byte) {
+// Publish spreads the payload and waits for the nodes of the service, but not for
+// long.
+func (b *Broadcast) Publish(service, key string, payload []byte) {
+	// A value too large for gossip still reaches the nodes of the service.
+	_ = b.gossip.PublishRumour(member.Rumour{Topic: Topic, Key: key, Payload: payload}, quarantine.DefaultRetention)
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
 	group := b.pool.NewGroupContext(ctx)
-	for _, n := range b.directory.Nodes() {
+	for _, n := range b.directory.Offering(service) {
 		if n.Host == b.host || n.Address == "" {
 			continue
 		}
@@ -61,16 +74,5 @@
 	_ = group.Wait() // Ends with the messages or the time.
 }
 
-// HostsOf returns the hosts that offer a service and take new work.
-func (b *Broadcast) HostsOf(service string) []string {
-	var hosts []string
-	for _, n := range b.directory.Nodes() {
-		if n.Service == service && !n.Leaving {
-			hosts = append(hosts, n.Host)
-		}
-	}
-	return hosts
-}
-
 // Close ends the workers.
 func (b *Broadcast) Close() { b.pool.StopAndWait() }
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -84,6 +84,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := d.Publish(); err != nil {
+		f.Stop()
+		return nil, err
+	}
 	for _, h := range d.Hosts {
 		host := &Host{Host: h, Runs: filepath.Join(directory, h.Name+".runs")}
 		f.Hosts = append(f.Hosts, host)
@@ -137,7 +141,7 @@
 		return nil
 	}
 	var err error
-	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings, "--configuration", f.Deployment.Configuration)
+	h.node, err = f.start(h.Name+"-node", "bilberryvaned", h.Settings)
 	return err
 }
 
