--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -29,26 +29,16 @@
 }
 
 // A Directory holds the nodes that are up. It is safe for concurrent use.
-type Directory struct{ source Source }
+type Directory struct {
+	source Source
+}
 
-// New returns the Directory of a node.
+// New returns the Directory over a source.
 func New(s Source) *Directory { return &Directory{source: s} }
 
 // Offer changes what the own node offers.
 func (d *Directory) Offer(service string, leaving bool) { d.source.Offer(service, leaving) }
 
-// Offering returns the nodes that take new work of a service.
-func (d *Directory) Offering(service string) []member.Node { return d.source.Nodes(service) }
-
-// HostsOf returns the hosts that take new work of a service.
-func (d *Directory) HostsOf(service string) []string {
-	var hosts []string
-	for _, n := range d.source.Nodes(service) {
-		hosts = append(hosts, n.Host)
-	}
-	return hosts
-}
-
 // Nodes returns all nodes known, the own one included.
 func (d *Directory) Nodes() []Node {
 	entries := d.source.All()
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -88,11 +88,10 @@
 	n.directory = directory.New(n.membership)
 	n.follow()
 	n.admission = admitter.New(host.Name, newTargets(n.configuration), n.clock)
-	n.strikes = suspects.NewBroadcast(host.Name, n.directory, n.endpoint, n.membership)
-	incarnation := uint64(n.clock.Now().UnixNano())
-	watch := suspects.NewWatch(host.Name, incarnation, n.directory, n.strikes, n.clock, n.log)
+	n.strikes = suspects.NewBroadcast(host.Name, n.membership, n.endpoint)
+	watch := suspects.NewWatch(host.Name, n.membership.Self().Incarnation, n.strikes, n.strikes, n.clock, n.log)
 	n.endpoint.Handle(suspects.KindStrikes, watch.Receive)
-	n.membership.Subscribe(suspects.Topic, watch.Heard)
+	n.strikes.Subscribe(watch.Hear)
 	executor := execute.New(execute.Parts{
 		Host:       host.Name,
 		Keys:       n.keys,
@@ -103,7 +102,7 @@
 		Clock:      n.clock,
 	})
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
-	chooser := router.New(host.Name, host.Zone, n.directory, watch, n.clock)
+	chooser := router.New(host.Name, host.Zone, n.membership, watch, n.clock)
 	forwarder := forward.New(chooser, retries.New(n.clock), executor, n.endpoint, n.clock)
 	return entry.New(entry.Parts{
 		Host:          host.Name,
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -1,6 +1,6 @@
 // Package router chooses executing nodes for the calls of a node. Package routing
-// decides for each service; this package adds the lock, the nodes that package
-// directory knows, and the place of suspects, which package suspects tells.
+// decides for each service; this package adds the lock, the nodes that the
+// membership knows, and the place of suspects, which package suspects tells.
 package router
 
 import (
@@ -20,9 +20,10 @@
 // refreshPeriod is how old the nodes of a service may be.
 const refreshPeriod = 100 * time.Millisecond
 
-// A Directory knows the nodes that take new work.
+// A Directory knows the nodes that take calls.
 type Directory interface {
-	Offering(service string) []member.Node
+	// Nodes returns the nodes that take new work of a service.
+	Nodes(service string) []member.Node
 }
 
 // Suspects tells where a request must run that may crash backend servers.
@@ -135,7 +136,7 @@
 	s.addresses = make(map[string]string)
 	s.hosts = nil
 	var nodes []routing.Node
-	for _, n := range r.directory.Offering(name) {
+	for _, n := range r.directory.Nodes(name) {
 		nodes = append(nodes, routing.Node{Host: n.Host, Zone: n.Zone, Incarnation: n.Incarnation})
 		s.addresses[n.Host] = n.Address
 		s.hosts = append(s.hosts, n.Host)
--- a/internal/process/suspects/suspects.go
+++ b/internal/process/suspects/suspects.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
@@ -31,9 +30,9 @@
 
 // Rumours carries rumours to other nodes.
 type Rumours interface {
-	// Publish returns when the nodes of the service that could be reached have
-	// the rumours, or after a short time. The key names what they are about.
-	Publish(service, key string, payload []byte)
+	// Publish returns when the hosts of the service that could be reached have the
+	// rumours, or after a short time.
+	Publish(service string, rumours []quarantine.Rumour) error
 }
 
 // A Watch holds back suspects at one node. It is safe for concurrent use.
@@ -82,7 +81,7 @@
 		id, verdict, changed := w.enter(f)
 		switch verdict {
 		case quarantine.Run:
-			return &visit{watch: w, id: id, service: c.Service}, nil
+			return &visit{watch: w, id: id, service: c.Service, fingerprint: f}, nil
 		case quarantine.Quarantined:
 			return nil, refusal.New(refusal.Quarantined)
 		}
@@ -99,10 +98,9 @@
 	return nil, w.merge(body)
 }
 
-// Heard takes in rumours that came by gossip.
-func (w *Watch) Heard(_ string, payload []byte) {
-	// What can't be decoded comes from another version and is passed over.
-	_ = w.merge(payload)
+// Hear takes in strikes that a rumour brought.
+func (w *Watch) Hear(payload []byte) {
+	_ = w.merge(payload) // A rumour that can't be read says nothing.
 }
 
 func (w *Watch) merge(payload []byte) error {
@@ -149,10 +147,6 @@
 // publish tells other nodes. The request's answer waits for it, so that the
 // request is known as a suspect before its caller can send it again.
 func (w *Watch) publish(service string, rumours []quarantine.Rumour) {
-	payload, err := cbor.Marshal(rumours)
-	if err != nil {
-		return
-	}
 	for _, r := range rumours {
 		kind := event.RequestStruck
 		if r.Cleared {
@@ -160,16 +154,17 @@
 		}
 		w.log.Emit(kind, log.Fields{"host": w.host, "account": r.Fingerprint.Account, "content": r.Fingerprint.Hash})
 	}
-	first := rumours[0]
-	key := fmt.Sprintf("%s/%x/%s/%d", first.Fingerprint.Account, first.Fingerprint.Hash, first.Crash.Host, first.Crash.Number)
-	w.rumours.Publish(service, key, payload)
+	if err := w.rumours.Publish(service, rumours); err != nil {
+		w.log.Emit(event.StrikesNotSpread, log.Fields{"host": w.host, "error": err.Error()})
+	}
 }
 
 // A visit is one request that was let in.
 type visit struct {
-	watch   *Watch
-	id      uint64
-	service string
+	watch       *Watch
+	id          uint64
+	service     string
+	fingerprint quarantine.Fingerprint
 }
 
 // Start reports whether the request may still be handed over.
