--- a/trial/cmd/trial-decisions/main.go
+++ b/trial/cmd/trial-decisions/main.go
@@ -51,7 +51,11 @@
 	if !m.Recovered {
 		recovery = "not in " + recovery
 	}
-	fmt.Fprintf(w, "%s\t%s\t%s\t%.1f%%\t%s\t%.2f\t%.1f%%\t%s\t%.1f%%\n",
-		m.Deployment, m.Scenario, m.Policy, 100*m.Goodput, recovery, m.WorstAccount,
+	worst := "none answered"
+	if m.Compared {
+		worst = fmt.Sprintf("%.2f", m.WorstAccount)
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%.1f%%\t%s\t%s\t%.1f%%\t%s\t%.1f%%\n",
+		m.Deployment, m.Scenario, m.Policy, 100*m.Goodput, recovery, worst,
 		100*m.Important, m.ImportantP99.Round(time.Millisecond), 100*m.Wasted)
 }
--- a/trial/decisions/meter.go
+++ b/trial/decisions/meter.go
@@ -60,8 +60,10 @@
 	// Recovered is false if that did not happen before the run ended.
 	Recovered bool
 	// WorstAccount is the least of what an account got of its max-min share of
-	// all answers of each importance, during the trigger.
+	// all answers of each importance, during the trigger. It is meaningless
+	// unless Compared, which needs a class of which enough was answered.
 	WorstAccount float64
+	Compared     bool
 	// Important is the part of the most important class that was answered
 	// within its target during the trigger, and ImportantP99 its latency.
 	Important    float64
@@ -76,10 +78,10 @@
 	during := m.between(from, until)
 	result := Measurement{
 		Deployment: s.deployment.Name, Scenario: s.scenario.Name, Policy: s.policy.Name(),
-		Goodput:      m.goodput(during, s.scenario.Length),
-		WorstAccount: m.worstAccount(during),
-		Wasted:       m.lost.Seconds() / (m.lost + m.useful).Seconds(),
+		Goodput: m.goodput(during, s.scenario.Length),
+		Wasted:  m.lost.Seconds() / (m.lost + m.useful).Seconds(),
 	}
+	result.WorstAccount, result.Compared = m.worstAccount(during)
 	result.Important, result.ImportantP99 = important(during)
 	result.Recovery, result.Recovered = m.recovery(until)
 	return result
@@ -119,8 +121,8 @@
 }
 
 // worstAccount compares, by importance, what accounts got with max-min shares.
-func (m *meter) worstAccount(during []*logical) float64 {
-	worst := 1.0
+func (m *meter) worstAccount(during []*logical) (float64, bool) {
+	worst, compared := 1.0, false
 	for _, class := range m.sim.deployment.Classes {
 		demand := make([]float64, len(m.sim.deployment.Accounts))
 		got := make([]float64, len(demand))
@@ -141,11 +143,12 @@
 		if total < leastAnswered*asked {
 			continue
 		}
+		compared = true
 		for i, share := range maxMin(demand, total) {
 			worst = min(worst, got[i]/max(1, share))
 		}
 	}
-	return worst
+	return worst, compared
 }
 
 // leastAnswered is the part of a class's requests below which it isn't compared.
