--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -149,8 +149,10 @@
 	if err != nil {
 		return e.finish(c, work, start, asAnswer(err))
 	}
-	if err := e.backpressure.Allow(admitted); err != nil {
-		return e.finish(admitted, work, start, asAnswer(err))
+	if admitted.Idempotent {
+		if err := e.backpressure.Allow(admitted); err != nil {
+			return e.finish(admitted, work, start, asAnswer(err))
+		}
 	}
 	limited, cancel := context.WithDeadline(ctx, admitted.Deadline)
 	defer cancel()
@@ -159,9 +161,7 @@
 			return e.finish(admitted, work, start, asAnswer(err))
 		}
 	}
-	answer := e.once(limited, admitted, in)
-	e.backpressure.Observe(admitted, answer)
-	return e.finish(admitted, work, start, answer)
+	return e.finish(admitted, work, start, e.once(limited, admitted, in))
 }
 
 // admit checks who asks and for what, and completes the call context.
@@ -258,7 +258,7 @@
 	c = c.WithContent(mark.Hash)
 	r := exchange.Request{Context: c, Method: in.Method, Path: in.Path, Headers: in.Headers, Body: in.Body}
 	if c.Idempotent {
-		return e.forwarder.Forward(ctx, r)
+		return e.relay(ctx, r)
 	}
 	claim, kept, ran, err := e.claims.Claim(ctx, c)
 	if err != nil {
@@ -267,11 +267,31 @@
 	if ran {
 		return kept.WithUnusedAttempts(c.Attempts)
 	}
-	answer := e.forwarder.Forward(ctx, r)
+	answer := e.relayClaimed(ctx, r)
 	claim.Finish(context.WithoutCancel(ctx), answer)
 	return answer
 }
 
+// relayClaimed forwards work that is claimed. An overload refuses it only here,
+// because before the claim it is not known whether the work ran earlier.
+func (e *Entry) relayClaimed(ctx context.Context, r exchange.Request) exchange.Answer {
+	if r.Context.Depth == 0 {
+		if err := e.backpressure.Allow(r.Context); err != nil {
+			return asAnswer(err).WithUnusedAttempts(r.Context.Attempts)
+		}
+	}
+	return e.relay(ctx, r)
+}
+
+// relay forwards a request; the entry learns how root requests end.
+func (e *Entry) relay(ctx context.Context, r exchange.Request) exchange.Answer {
+	answer := e.forwarder.Forward(ctx, r)
+	if r.Context.Depth == 0 {
+		e.backpressure.Observe(r.Context, answer)
+	}
+	return answer
+}
+
 // finish completes a refusal with what is known of the request and records it.
 func (e *Entry) finish(c call.Context, work class.Class, start time.Time, a exchange.Answer) exchange.Answer {
 	if a.Refusal != nil {
