--- a/trial/cmd/trial-demo/main.go
+++ b/trial/cmd/trial-demo/main.go
@@ -207,6 +207,9 @@
 	for reason, n := range measure.Reasons(results) {
 		fmt.Printf("refused %-32s %d\n", reason, n)
 	}
+	if err := f.Burn().WriteText(os.Stdout); err != nil {
+		return fmt.Errorf("print burn report: %w", err)
+	}
 	runs, err := f.Runs()
 	if err != nil {
 		return fmt.Errorf("read what ran: %w", err)
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
+	"github.com/bilberryvane/bilberryvane/internal/process/burn"
 	"github.com/bilberryvane/bilberryvane/trial/deployment"
 )
 
@@ -347,6 +349,23 @@
 	return nil
 }
 
+// Burn adds up the burn reports of all nodes that answer.
+func (f *Fleet) Burn() burn.Report {
+	var sum burn.Report
+	for _, h := range f.Hosts {
+		response, err := http.Get("http://" + h.Operators + operator.BurnPath)
+		if err != nil {
+			continue
+		}
+		var report burn.Report
+		if err := json.NewDecoder(response.Body).Decode(&report); err == nil {
+			sum = sum.WithReport(report)
+		}
+		response.Body.Close()
+	}
+	return sum
+}
+
 // A Run is one request that a backend server ran.
 type Run struct {
 	Key     string `json:"key"`
