--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -6,6 +6,7 @@
 var (
 	NodeStarted      = define(1000, "node-started", log.InfoLevel, "The node has started and listens.")
 	NodeLeaving      = define(1001, "node-leaving", log.InfoLevel, "The node takes no new work and finishes what is in flight.")
+	NodeServes       = define(1005, "node-serves", log.InfoLevel, "The node answers callers; it is ready unless its start took too long.")
 	NodeStopped      = define(1002, "node-stopped", log.InfoLevel, "The node has stopped with nothing in flight.")
 	StartFailed      = define(1003, "start-failed", log.ErrorLevel, "The node could not start; the error tells why.")
 	WorkerPanic      = define(1004, "worker-panic", log.ErrorLevel, "A task ended by a panic; the request was answered with outcome unknown.")
@@ -42,3 +43,9 @@
 	ConfigurationNoticeLost  = define(1205, "configuration-notice-lost", log.DebugLevel, "A peer could not be told of a newer version; it learns of it by itself.")
 	ConfigurationTaskRefused = define(1206, "configuration-task-refused", log.DebugLevel, "The worker pool takes no more tasks, since the process is ending.")
 )
+
+// Events of the client account rate: 1400 to 1499.
+var (
+	RateHolderBegan     = define(1400, "rate-holder-began", log.InfoLevel, "This host holds a zone's share of the rate of a group of client accounts.")
+	RateHolderUnreached = define(1401, "rate-holder-unreached", log.DebugLevel, "The holder of a share of the rate gave no answer; tokens are asked for again or elsewhere.")
+)
--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -54,18 +54,7 @@
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(d.Publish())
 	f := &fleet{t: t, deployment: d, hosts: map[string]*deployment.Running{}, logs: &logBuffer{}}
-	t.Cleanup(func() {
-		http.DefaultClient.CloseIdleConnections()
-		var stopping sync.WaitGroup
-		for _, h := range f.hosts {
-			stopping.Go(func() {
-				if err := h.Stop(); err != nil {
-					t.Errorf("stop %s: %v", h.Host.Name, err)
-				}
-			})
-		}
-		stopping.Wait()
-	})
+	t.Cleanup(f.stop)
 	for _, h := range d.Hosts {
 		f.startHost(h)
 	}
