Refuse less at a calm start and step down only when sure

Cause: after a start of all processes under calm load 131 requests were refused as overloaded within three seconds: limits began at a quarter of the slots, and shares at the entries rose slowly because a full service ended each calm. Change: slow start begins with half of the slots and doubles; a raised time must show in two windows before the limit is halved, and the check after it is shorter; a full service in which none waits neither begins nor ends a calm.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -22,15 +22,21 @@
 	followedRise = 1.15
 	// decrease is the factor of a step down. It leads below the slots of a
 	// backend server that queued at toleratedRise, where the baseline is seen.
-	decrease = 0.6
+	decrease = 0.5
+	// startSamples ends a window of slow start.
+	startSamples = 4
 	// startGrowth is the factor of a step up during slow start.
-	startGrowth = 1.5
+	startGrowth = 2
 	// steadyGrowth is the share of a step up after slow start.
 	steadyGrowth = 0.05
+	// checkSamples ends the window after a step down.
+	checkSamples = 60
+	// raisedWindows in a row make a step down; a stall of the host raises one.
+	raisedWindows = 2
 	// rejectedShare of a window's requests makes a step down.
 	rejectedShare = 0.02
 	// startShare of the announced slots is used at a cold start.
-	startShare = 0.25
+	startShare = 0.5
 	// defaultCap bounds the limit where nothing was announced.
 	defaultCap = 1000
 	// defaultStart is the limit at a cold start where nothing was announced.
@@ -70,6 +76,8 @@
 	starting bool
 	baseline time.Duration
 	window   window
+	// raised is the number of windows in a row with a raised mean.
+	raised int
 	// previous is the mean time and the limit before the last step down; its
 	// mean is zero if the last step was not down.
 	previous step
@@ -148,13 +156,17 @@
 	}
 }
 
-// windowLength is the number of completions in a window; slow start needs less
-// certainty than a step down.
+// windowLength is the number of completions in a window. Slow start needs less
+// certainty than a step down, and whether a step down helped is to be known soon.
 func (l *Limit) windowLength() int {
-	if l.starting {
-		return fewestSamples
+	switch {
+	case l.starting:
+		return startSamples
+	case l.previous.mean > 0:
+		return checkSamples
+	default:
+		return windowSamples
 	}
-	return windowSamples
 }
 
 // decide moves the limit by the window that has ended.
@@ -179,9 +191,16 @@
 	if float64(mean) <= followedRise*float64(l.baseline) {
 		l.baseline += time.Duration(baselineGain * float64(mean-l.baseline))
 	}
+	if raised && saturated {
+		l.raised++
+	} else {
+		l.raised = 0
+	}
 	switch {
-	case raised && saturated:
+	case l.raised >= raisedWindows:
+		l.raised = 0
 		l.stepDown(mean)
+	case raised:
 	case saturated:
 		l.stepUp()
 	default:
--- a/routing/backpressure.go
+++ b/routing/backpressure.go
@@ -60,8 +60,11 @@
 	return p
 }
 
+// waits reports that requests wait.
+func (p Pressure) waits() bool { return p.QueueDelay >= calmDelay }
+
 // calm reports that there is room for more at once.
-func (p Pressure) calm() bool { return p.FreeSlots > 0 && p.QueueDelay < calmDelay }
+func (p Pressure) calm() bool { return p.FreeSlots > 0 && !p.waits() }
 
 // A Flow names calls that are treated alike at the entry.
 type Flow struct {
@@ -96,19 +99,26 @@
 	// importance is the admitted level at the time reportedAt.
 	importance int
 	reportedAt time.Time
-	// calmSince is when the reports became calm; zero if the last was not.
+	// calmSince is when the reports became calm; zero if requests waited in the
+	// last. A full service in which none waits ends no calm, nor begins one.
 	calmSince time.Time
 }
 
 // reported returns the state after another report.
 func (s state) reported(now time.Time, pressure Pressure) state {
+	next := state{service: pressure.Service, importance: pressure.AdmittedImportance, reportedAt: now}
+	if pressure.waits() {
+		return next
+	}
+	next.calmSince = s.calmSince
 	if !pressure.calm() {
-		return state{service: pressure.Service, importance: pressure.AdmittedImportance, reportedAt: now}
+		return next
 	}
-	if s.calmSince.IsZero() {
-		s.calmSince = now
+	next.importance = 0
+	if next.calmSince.IsZero() {
+		next.calmSince = now
 	}
-	return state{service: pressure.Service, reportedAt: now, calmSince: s.calmSince}
+	return next
 }
 
 // NewBackpressure returns a Backpressure that passes everything.
@@ -138,7 +148,7 @@
 	case shed && b.yields(now, f, s.service):
 	case shed:
 		p.scale(1 - shedStep)
-	case s.calmSince.IsZero():
+	case !pressure.calm():
 		p.scale(1 + shedStep*shedGoal/(1-shedGoal))
 	case now.Sub(s.calmSince) < calmTime:
 		p.scale(1 + shedStep)
