Host shards in the node and claim work that runs at most once

Work that may not be repeated ran without a claim: a caller that sent it again through another host had it run twice.

Package ownership runs shards in the node. A member's memory is proved lost only by an answer of a newer incarnation of its host; silence proves nothing, since a cut-off zone is silent too. Retention is a setting.

Records go to members in pages, since a message is bounded; the property test runs with one record a page.

--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -22,3 +22,12 @@
 	ConfigurationNoticeLost  = define(1205, "configuration-notice-lost", log.DebugLevel, "A peer could not be told of a newer version; it learns of it by itself.")
 	ConfigurationTaskRefused = define(1206, "configuration-task-refused", log.DebugLevel, "The worker pool takes no more tasks, since the process is ending.")
 )
+
+// Events of the shards: 1300 to 1399.
+var (
+	ShardHeld        = define(1300, "shard-held", log.InfoLevel, "This host holds a shard: it alone acts for it.")
+	ShardLost        = define(1301, "shard-lost", log.WarnLevel, "This host holds a shard no more, by a handover, a change of its group or the end of its lease.")
+	ShardNotTaken    = define(1302, "shard-not-taken", log.WarnLevel, "An attempt to take a shard ended without success; the reason is given.")
+	ShardRecordsLost = define(1303, "shard-records-lost", log.ErrorLevel, "A majority of a shard's members was gone before a takeover, so records may be missing; nothing new is claimed on it for a while.")
+	ClaimUnrecorded  = define(1304, "claim-unrecorded", log.WarnLevel, "The outcome of work that runs at most once could not be recorded; whoever sends it again is told that its outcome is unknown.")
+)
--- a/internal/process/node/follow.go
+++ b/internal/process/node/follow.go
@@ -51,10 +51,10 @@
 	n.metrics.Publish("configuration-version", expvar.Func(func() any { return n.follower.Snapshot().Version() }))
 }
 
-// registryOnPlatform returns the registry of configurations on the platform.
-func (n *Node) registryOnPlatform() *distribution.Registry {
+// platformEndpoint returns where the platform is.
+func (n *Node) platformEndpoint() platform.Endpoint {
 	s := n.settings.Platform
-	at := platform.Endpoint{
+	return platform.Endpoint{
 		TableURL:   s.TableEndpoint,
 		ObjectsURL: s.ObjectEndpoint,
 		Region:     s.Region,
@@ -63,9 +63,14 @@
 		TableName:  s.Table,
 		Bucket:     s.Bucket,
 	}
+}
+
+// registryOnPlatform returns the registry of configurations on the platform.
+func (n *Node) registryOnPlatform() *distribution.Registry {
+	at := n.platformEndpoint()
 	meter := platform.NewMeter(n.clock)
 	n.metrics.Publish("platform", meter)
-	options := []platform.Option{platform.WithTimeout(s.Timeout), platform.WithMeter(meter)}
+	options := []platform.Option{platform.WithTimeout(n.settings.Platform.Timeout), platform.WithMeter(meter)}
 	return distribution.NewRegistry(platform.NewTable(at, options...), platform.NewObjects(at, options...))
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -20,11 +20,13 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/admitter"
 	"github.com/bilberryvane/bilberryvane/internal/process/burn"
+	"github.com/bilberryvane/bilberryvane/internal/process/claims"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
+	"github.com/bilberryvane/bilberryvane/internal/process/ownership"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
 	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
@@ -54,6 +56,8 @@
 	backend     *backend.Client
 	admission   *admitter.Fixed
 	directory   *directory.Directory
+	ownership   *ownership.Service
+	claims      *claims.Service
 	refusals    *refusals.Log
 	metrics     *metrics.Metrics
 	burn        *burn.Recorder
@@ -129,6 +133,8 @@
 func (n *Node) run(ctx context.Context) {
 	n.tasks.Go(func() { n.directory.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
+	n.tasks.Go(func() { n.ownership.Run(ctx) })
+	n.tasks.Go(func() { n.claims.Run(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
 			n.follower.Run(ctx)
@@ -168,6 +174,7 @@
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
+	n.handOver(ctx)
 	n.cancel()
 	n.tasks.Wait()
 	if err := n.local.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/internal/process/node/own.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/bilberryvane/bilberryvane/claim"
+	"github.com/bilberryvane/bilberryvane/internal/process/claims"
+	"github.com/bilberryvane/bilberryvane/internal/process/directory"
+	"github.com/bilberryvane/bilberryvane/internal/process/ownership"
+	"github.com/bilberryvane/bilberryvane/internal/process/platform"
+	"github.com/bilberryvane/bilberryvane/shard"
+)
+
+// handOverLimit bounds the handover of shards when the node leaves.
+const handOverLimit = 5 * time.Second
+
+// own makes the parts that hold what must be owned once.
+func (n *Node) own() {
+	self := ownership.Node{Host: n.settings.Host.Name, Zone: n.settings.Host.Zone, Address: n.endpoint.Address()}
+	meter := platform.NewMeter(n.clock)
+	n.metrics.Publish("platform-shards", meter)
+	n.ownership = ownership.New(self, ownership.Parts{
+		Directory: shardDirectory{directory: n.directory},
+		Table: platform.NewTable(n.platformEndpoint(),
+			platform.WithTimeout(n.settings.Platform.Timeout), platform.WithMeter(meter)),
+		Sender: n.endpoint,
+		Clock:  n.clock,
+		Log:    n.log,
+		Specs:  claims.Specs,
+	}, shard.NewTerms())
+	n.claims = claims.New(n.ownership, n.endpoint, n.clock, n.log, claim.WithRetention(n.settings.Claims.Retention))
+	n.endpoint.Handle(ownership.KindMember, n.ownership.HandleMember)
+	n.endpoint.Handle(ownership.KindStatus, n.ownership.HandleStatus)
+	n.endpoint.Handle(ownership.KindTake, n.ownership.HandleTake)
+	n.endpoint.Handle(claims.KindClaim, n.claims.Handle)
+	n.metrics.Publish("shards-held", expvar.Func(func() any { return n.ownership.Shards() }))
+}
+
+// handOver lets other nodes take the shards that this one holds.
+func (n *Node) handOver(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	n.ownership.Leave(limited)
+}
+
+// shardDirectory tells the shards which nodes are up.
+type shardDirectory struct{ directory *directory.Directory }
+
+// Nodes returns the nodes, this one included.
+func (d shardDirectory) Nodes() []ownership.Node {
+	known := d.directory.Nodes()
+	nodes := make([]ownership.Node, 0, len(known))
+	for _, k := range known {
+		nodes = append(nodes, ownership.Node{Host: k.Host, Zone: k.Zone, Address: k.Address, Leaving: k.Leaving})
+	}
+	return nodes
+}
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -57,6 +57,7 @@
 	}
 	n.directory = directory.New(n.endpoint, own, n.settings.Peers.Seeds)
 	n.follow()
+	n.own()
 	executor := execute.New(n.settings.Host.Name, n.keys, n.admission, noQuarantine{},
 		n.backend, n.registry, n.clock)
 	n.endpoint.Handle(peer.KindCall, forward.Serve(executor, n.clock))
@@ -65,7 +66,7 @@
 		Host:          n.settings.Host.Name,
 		Configuration: n.configuration,
 		Rate:          noRate{},
-		Claims:        noClaims{},
+		Claims:        n.claims,
 		Forwarder:     forwarder,
 		Recorder:      n,
 		Registry:      n.registry,
@@ -133,17 +134,3 @@
 
 // Take lets the request through.
 func (noRate) Take(context.Context, string, time.Duration) error { return nil }
-
-// noClaims claims nothing.
-type noClaims struct{}
-
-// Claim lets the request through.
-func (noClaims) Claim(context.Context, call.Context) (entry.Claim, exchange.Answer, bool, error) {
-	return noClaim{}, exchange.Answer{}, false, nil
-}
-
-// noClaim is the claim that noClaims gives.
-type noClaim struct{}
-
-// Finish does nothing.
-func (noClaim) Finish(context.Context, exchange.Answer) {}
--- a/internal/process/settings/options.go
+++ b/internal/process/settings/options.go
@@ -18,6 +18,8 @@
 	minTimeout     = time.Millisecond
 	maxTimeout     = 10 * time.Minute
 	maxKeyBound    = 30 * 24 * time.Hour
+	minRetention   = time.Second
+	maxRetention   = 30 * 24 * time.Hour
 )
 
 var options = []option{
@@ -149,6 +151,13 @@
 			r.Keys.Bound = s.Duration(k, 24*time.Hour, 0, maxKeyBound)
 		},
 	},
+	{
+		section: "claims", key: "retention", standard: "24h",
+		about: "How long the outcome of work that runs at most once is kept; sent again later than that, it may run again. Equal on all hosts.",
+		read: func(r *Settings, s *document.Section, k string) {
+			r.Claims.Retention = s.Duration(k, 24*time.Hour, minRetention, maxRetention)
+		},
+	},
 }
 
 func readBackendAddress(r *Settings, s *document.Section, key string) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -20,6 +20,7 @@
 	Limits   Limits
 	Timing   Timing
 	Keys     Keys
+	Claims   Claims
 }
 
 // Host says which host the node runs on.
@@ -105,6 +106,12 @@
 	Bound time.Duration
 }
 
+// Claims says how work that runs at most once is remembered.
+type Claims struct {
+	// Retention is how long a claim is kept from its beginning.
+	Retention time.Duration
+}
+
 // An option is one key of the settings. The table of options is the single
 // source for reading, for checking and for docs/SETTINGS.md.
 type option struct {
--- a/shard/member.go
+++ b/shard/member.go
@@ -30,9 +30,11 @@
 	abandoned map[AttemptID]Epoch
 }
 
+// A stagedCopy can be put in force once all its parts are there.
 type stagedCopy struct {
-	epoch   Epoch
-	records []Record
+	epoch Epoch
+	parts map[int][]Record
+	count int
 }
 
 // NewMember returns a member without memory. The incarnation of id must be new.
@@ -172,8 +174,15 @@
 		a.Wait = m.leaseEnd.Sub(now)
 		return a
 	}
+	// The records can't change between pages: appends are refused by the promise.
 	a := r.answer(m.id, Done)
-	a.Records = sorted(m.records)
+	rest := sorted(m.records)
+	if r.After != "" {
+		rest = slices.DeleteFunc(rest, func(record Record) bool { return record.Key <= r.After })
+	}
+	n := m.terms.page(rest)
+	a.Records = rest[:n]
+	a.More = n < len(rest)
 	return a
 }
 
@@ -183,7 +192,12 @@
 	if r.Epoch <= m.epoch || r.Epoch < m.highestPromise() || abandoned {
 		return r.answer(m.id, Superseded)
 	}
-	m.staged[r.Attempt] = stagedCopy{epoch: r.Epoch, records: r.Records}
+	copied, ok := m.staged[r.Attempt]
+	if !ok {
+		copied = stagedCopy{epoch: r.Epoch, parts: map[int][]Record{}, count: r.Parts}
+		m.staged[r.Attempt] = copied
+	}
+	copied.parts[r.Part] = r.Records
 	return r.answer(m.id, Done)
 }
 
@@ -221,16 +235,18 @@
 		return m.attempt == attempt
 	}
 	copied, ok := m.staged[attempt]
-	if !ok || epoch < m.epoch || copied.epoch != epoch {
+	if !ok || epoch < m.epoch || copied.epoch != epoch || len(copied.parts) < copied.count {
 		return false
 	}
 	m.epoch = epoch
 	m.attempt = attempt
 	m.settled = 0
 	m.removed = nil
-	m.records = make(map[string]Record, len(copied.records))
-	for _, record := range copied.records {
-		m.records[record.Key] = record
+	m.records = map[string]Record{}
+	for _, records := range copied.parts {
+		for _, record := range records {
+			m.records[record.Key] = record
+		}
 	}
 	m.forgetBelow()
 	return true
--- a/shard/message.go
+++ b/shard/message.go
@@ -34,6 +34,11 @@
 	Previous AttemptID `cbor:"6,keyasint,omitempty"`
 	// Records are what Append and Copy hand over.
 	Records []Record `cbor:"7,keyasint,omitempty"`
+	// Part is which part of a Copy the Records are, from 0, of Parts in all.
+	Part  int `cbor:"9,keyasint,omitempty"`
+	Parts int `cbor:"10,keyasint,omitempty"`
+	// After asks a Seal for the records whose keys follow it.
+	After string `cbor:"11,keyasint,omitempty"`
 	// Settled is the sequence up to which every member has stored all records.
 	Settled uint64 `cbor:"8,keyasint,omitempty"`
 }
@@ -65,8 +70,13 @@
 	Sent time.Duration `cbor:"6,keyasint,omitempty"`
 	// Wait is when to ask again after Waiting.
 	Wait time.Duration `cbor:"7,keyasint,omitempty"`
-	// Records are what a Seal hands over, removals included.
+	// Records are what a Seal hands over, removals included, in the order of their
+	// keys; More says that others follow.
 	Records []Record `cbor:"8,keyasint,omitempty"`
+	More    bool     `cbor:"11,keyasint,omitempty"`
+	// After repeats that of a Seal, Part that of a Copy.
+	After string `cbor:"12,keyasint,omitempty"`
+	Part  int    `cbor:"13,keyasint,omitempty"`
 	// Stored are the sequences of the records of an Append.
 	Stored []uint64 `cbor:"9,keyasint,omitempty"`
 	// Highest is the highest epoch that the member knows of.
@@ -75,5 +85,14 @@
 
 // answer returns the answer to a request with a verdict.
 func (r Request) answer(from MemberID, status Status) Answer {
-	return Answer{Kind: r.Kind, From: from, Epoch: r.Epoch, Attempt: r.Attempt, Status: status, Sent: r.Sent}
+	return Answer{
+		Kind:    r.Kind,
+		From:    from,
+		Epoch:   r.Epoch,
+		Attempt: r.Attempt,
+		Status:  status,
+		Sent:    r.Sent,
+		After:   r.After,
+		Part:    r.Part,
+	}
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -105,6 +105,10 @@
 	defaultResend = 250 * time.Millisecond
 	// defaultDrift is the share by which two clocks' rates may differ.
 	defaultDrift = 0.01
+	// defaultPage bounds the records of one message.
+	defaultPage = 1 << 20 // bytes
+	// recordOverhead is what a record takes in a message besides key and value.
+	recordOverhead = 32 // bytes
 )
 
 // Terms are the times that all hosts of a shard share.
@@ -118,6 +122,9 @@
 	// Drift is the largest share by which the clocks of two hosts may differ in
 	// rate, such as 0.01. A member waits longer by this share.
 	Drift float64
+	// Page bounds the records that one message hands over, in bytes; a message
+	// holds one record at least.
+	Page int
 }
 
 // An Option changes the terms.
@@ -125,7 +132,7 @@
 
 // NewTerms returns the default terms with the options applied.
 func NewTerms(options ...Option) Terms {
-	t := Terms{Lease: defaultLease, Renew: defaultRenew, Resend: defaultResend, Drift: defaultDrift}
+	t := Terms{Lease: defaultLease, Renew: defaultRenew, Resend: defaultResend, Drift: defaultDrift, Page: defaultPage}
 	for _, o := range options {
 		o(&t)
 	}
@@ -150,6 +157,23 @@
 	return func(t *Terms) { t.Drift = drift }
 }
 
+// WithPage sets the bound on the records of one message, in bytes.
+func WithPage(size int) Option {
+	return func(t *Terms) { t.Page = size }
+}
+
+// page returns how many of the first records fit into one message.
+func (t Terms) page(records []Record) int {
+	size := 0
+	for i, r := range records {
+		size += len(r.Key) + len(r.Value) + recordOverhead
+		if size > t.Page && i > 0 {
+			return i
+		}
+	}
+	return len(records)
+}
+
 // memberLease is how long a member counts a lease as granted by its own clock.
 func (t Terms) memberLease() time.Duration {
 	return t.Lease + time.Duration(float64(t.Lease)*t.Drift) + 1
--- a/shard/taker.go
+++ b/shard/taker.go
@@ -63,8 +63,12 @@
 	lossy     bool
 	union     map[string]Record
 	records   []Record
-	copied    map[MemberID]bool
-	repeated  time.Time
+	// after is for each member the key that the next page of its records follows.
+	after map[MemberID]string
+	// parts are the records split into messages, copied how many a member has.
+	parts    [][]Record
+	copied   map[MemberID]int
+	repeated time.Time
 }
 
 // NewTaker returns a taker for a host. The attempt must be new. The members of the
@@ -79,7 +83,8 @@
 		sealed:  map[MemberID]bool{},
 		gone:    map[MemberID]bool{},
 		union:   map[string]Record{},
-		copied:  map[MemberID]bool{},
+		after:   map[MemberID]string{},
+		copied:  map[MemberID]int{},
 	}
 }
 
@@ -106,7 +111,7 @@
 		}
 	case Copying:
 		for _, id := range t.group {
-			if !t.copied[id] {
+			if t.copied[id] < len(t.parts) {
 				missing = append(missing, id)
 			}
 		}
@@ -176,22 +181,45 @@
 	}
 	switch {
 	case t.stage == Sealing && a.Kind == Seal && slices.Contains(t.row.Members, a.From):
-		t.sealed[a.From] = true
-		t.merge(a.Records)
-		return t.advance(now)
+		return t.pageTaken(now, a)
 	case t.stage == Copying && a.Kind == Copy && slices.Contains(t.group, a.From):
-		t.copied[a.From] = true
-		if len(t.Missing()) > 0 {
-			return nil
-		}
-		t.stage = Writing
-		t.repeated = now
-		return []Action{t.write()}
+		return t.partStored(now, a)
 	default:
 		return nil
 	}
 }
 
+// pageTaken keeps a page of a sealed member's records; the last one counts it.
+func (t *Taker) pageTaken(now time.Time, a Answer) []Action {
+	if t.sealed[a.From] || a.After != t.after[a.From] {
+		return nil
+	}
+	t.merge(a.Records)
+	if a.More && len(a.Records) > 0 {
+		t.after[a.From] = a.Records[len(a.Records)-1].Key
+		return []Action{t.send(Seal, a.From)}
+	}
+	t.sealed[a.From] = true
+	return t.advance(now)
+}
+
+// partStored sends the next part to a member; the last one of all leads to the write.
+func (t *Taker) partStored(now time.Time, a Answer) []Action {
+	if a.Part != t.copied[a.From] {
+		return nil
+	}
+	t.copied[a.From]++
+	if t.copied[a.From] < len(t.parts) {
+		return []Action{t.send(Copy, a.From)}
+	}
+	if len(t.Missing()) > 0 {
+		return nil
+	}
+	t.stage = Writing
+	t.repeated = now
+	return []Action{t.write()}
+}
+
 // Gone takes the proof that a member's memory is lost, such as a newer incarnation
 // of its host. Once all silent members of the epoch are gone and every lease that
 // they may have granted has ended, the takeover goes on without them; if a majority
@@ -236,9 +264,23 @@
 	t.repeated = now
 	t.records = present(t.union)
 	t.union = nil
+	t.split()
 	return t.messages()
 }
 
+// split divides the records into messages; there is one even without records.
+func (t *Taker) split() {
+	rest := t.records
+	for {
+		n := t.terms.page(rest)
+		t.parts = append(t.parts, rest[:n])
+		rest = rest[n:]
+		if len(rest) == 0 {
+			return
+		}
+	}
+}
+
 func (t *Taker) enoughSealed(now time.Time) bool {
 	members := len(t.row.Members)
 	if members == 0 || len(t.sealed) >= Majority(members) {
@@ -293,8 +335,11 @@
 	switch kind {
 	case Seal:
 		r.Previous = t.row.Attempt
+		r.After = t.after[to]
 	case Copy:
-		r.Records = t.records
+		r.Part = t.copied[to]
+		r.Parts = len(t.parts)
+		r.Records = t.parts[r.Part]
 	}
 	return Action{Send: &r}
 }
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -73,8 +73,9 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t:        t,
-		terms:    shard.NewTerms(shard.WithLease(time.Second, 250*time.Millisecond), shard.WithResend(100*time.Millisecond)),
+		t: t,
+		terms: shard.NewTerms(shard.WithLease(time.Second, 250*time.Millisecond),
+			shard.WithResend(100*time.Millisecond), shard.WithPage(1)), // one record a message
 		sequence: map[*shard.Holder]map[uint64]string{},
 		kept:     map[string]committed{},
 		removals: map[string][]shard.Stamp{},
