Withhold no more burst than a granted rate fills soon

Cause: with a cycle of 400 ms, sub-holders and entry nodes kept room for 1.6 s of their rate; the unused room counted against the account's burst, and 1,500 entry nodes below 40 sub-holders were refused 10.2% wrongfully.

--- a/rate/offer.go
+++ b/rate/offer.go
@@ -8,8 +8,10 @@
 	// rateEighths of the demand below are granted as rate; the rest stays in the
 	// giver's bucket, where it serves whoever is short of tokens first.
 	rateEighths = 7
-	// burstEighths of a burst are granted ahead of demand.
-	burstEighths = 5
+	// holderEighths of a burst are granted ahead of demand by a holder, and
+	// middleEighths by a sub-holder, which can ask for more itself.
+	holderEighths = 5
+	middleEighths = 5
 	// lendEighths of the burst that a zone does not need are lent.
 	lendEighths = 7
 )
@@ -38,17 +40,17 @@
 	demand := max(o.bucket.Demand(), 1)
 	fair := Limit{
 		Rate:  o.usable.Rate.share(o.ask.Demand, demand),
-		Burst: o.usable.Burst.share(o.ask.Demand, demand).share(burstEighths, eighths),
+		Burst: o.usable.Burst.share(o.ask.Demand, demand).share(o.burstPart(), eighths),
 	}
 	granted := min(o.ask.Demand, fair.Rate, o.free.Rate).share(rateEighths, eighths)
 	soon := o.bucket.settings.soon(granted)
-	filling := min(max(soon, smallestFilling), fair.Burst, o.free.Burst)
+	filling := min(max(granted.accrued(2*o.bucket.settings.fillTime()), smallestFilling), fair.Burst, o.free.Burst)
 	if soon == 0 || filling < smallestFilling {
 		// A rate that fills less than a few tokens would only scatter them.
 		granted = 0
 		filling = 0
 	}
-	ahead := min(o.ask.Ahead, fair.Burst, o.bucket.level.share(o.ask.Demand, demand).share(burstEighths, eighths))
+	ahead := min(o.ask.Ahead, fair.Burst, o.bucket.level.share(o.ask.Demand, demand).share(o.burstPart(), eighths))
 	if fair.Burst < smallestFilling {
 		ahead = 0
 	}
@@ -57,6 +59,14 @@
 	return Limit{Rate: granted, Burst: min(burst, o.free.Burst)}, tokens
 }
 
+// burstPart returns the part of the burst that is granted ahead of demand.
+func (o offer) burstPart() Quantity {
+	if o.bucket.isHolder() {
+		return holderEighths
+	}
+	return middleEighths
+}
+
 // lend decides on a loan to another zone: what this zone owns and is not about
 // to need, and tokens for requests that wait there while none wait here.
 func (o offer) lend() (Limit, Quantity) {
--- a/rate/settings.go
+++ b/rate/settings.go
@@ -77,6 +77,13 @@
 	return duration + duration/time.Duration(s.driftMargin)
 }
 
+// minFillTime is the shortest time that a granted rate may fill unused room.
+const minFillTime = 100 * time.Millisecond
+
+// fillTime returns for how long a granted rate may fill room that is empty now:
+// more would withhold burst from others.
+func (s settings) fillTime() time.Duration { return max(s.cycle, minFillTime) }
+
 // soon returns the tokens that a demand uses until a Grant can follow, or zero
 // where that is less than one: so small a demand is met on request, because
 // tokens laid ahead of it would lie about.
--- a/rate/source.go
+++ b/rate/source.go
@@ -74,7 +74,7 @@
 	wanted := want.Need + want.Ahead + b.settings.soon(want.Demand)
 	excess := min(max(0, b.level-2*wanted), s.limit.Burst)
 	b.level -= excess
-	filling := total.Rate.accrued(2 * b.settings.cycle)
+	filling := total.Rate.accrued(b.settings.fillTime())
 	slack := max(0, total.Burst-b.level-filling)
 	s.limit.Burst -= min(s.limit.Burst, max(slack, excess))
 	return excess
