--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -2,7 +2,11 @@
 // service. Package membership finds the nodes.
 package directory
 
-import "github.com/bilberryvane/bilberryvane/member"
+import (
+	"sync"
+
+	"github.com/bilberryvane/bilberryvane/member"
+)
 
 // A Node is what is known of a node.
 type Node struct {
@@ -20,10 +24,9 @@
 
 // A Source knows the nodes that are up.
 type Source interface {
-	// All returns every node known, the own one included.
+	// All returns every node known, the own one included: the same list until it
+	// changes.
 	All() []member.Entry
-	// Nodes returns the nodes that take new work of a service.
-	Nodes(service string) []member.Node
 	// Offer changes what the own node offers; an empty service is none.
 	Offer(service string, draining bool)
 }
@@ -31,6 +34,12 @@
 // A Directory holds the nodes that are up. It is safe for concurrent use.
 type Directory struct {
 	source Source
+
+	// mu guards entries and nodes.
+	mu sync.Mutex
+	// entries is the list from which nodes were made.
+	entries []member.Entry
+	nodes   []Node
 }
 
 // New returns the Directory over a source.
@@ -39,9 +48,15 @@
 // Offer changes what the own node offers.
 func (d *Directory) Offer(service string, leaving bool) { d.source.Offer(service, leaving) }
 
-// Nodes returns all nodes known, the own one included.
+// Nodes returns all nodes known, the own one included. The result is shared and
+// not to be changed.
 func (d *Directory) Nodes() []Node {
 	entries := d.source.All()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(entries) > 0 && len(entries) == len(d.entries) && &entries[0] == &d.entries[0] {
+		return d.nodes
+	}
 	nodes := make([]Node, 0, len(entries))
 	for _, e := range entries {
 		n := Node{Host: e.Host, Zone: e.Zone, Address: e.Address, Leaving: e.Draining, Incarnation: e.Incarnation}
@@ -50,5 +65,7 @@
 		}
 		nodes = append(nodes, n)
 	}
+	d.entries = entries
+	d.nodes = nodes
 	return nodes
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -140,6 +140,7 @@
 func (n *Node) run(ctx context.Context) {
 	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
+	n.tasks.Go(func() { n.serveWhenReady(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
 			n.follower.Run(ctx)
@@ -170,12 +171,16 @@
 	n.leaving.Store(true)
 	n.offer()
 	n.callers.CloseAfterAnswer()
+	n.local.CloseAfterAnswer()
 	if err := n.drain(ctx); err != nil {
 		return err
 	}
 	if err := n.callers.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down callers: %w", err)
 	}
+	if err := n.endpoint.Drain(ctx); err != nil {
+		return fmt.Errorf("drain peers: %w", err)
+	}
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
--- a/internal/request/entry/entry_test.go
+++ b/internal/request/entry/entry_test.go
@@ -26,6 +26,7 @@
 type parts struct {
 	snapshot  configuration.Snapshot
 	cutOff    bool
+	overload  error
 	rateErr   error
 	claimErr  error
 	kept      *exchange.Answer
@@ -79,16 +80,13 @@
 
 func (p *parts) entry(r *registry.Registry) *entry.Entry {
 	return entry.New(entry.Parts{
-		Host: "host-1", Configuration: p, Backpressure: noPressure{}, Rate: p, Claims: p, Forwarder: p, Recorder: p, Registry: r, Clock: clock.System{},
+		Host: "host-1", Configuration: p, Backpressure: p, Rate: p, Claims: p, Forwarder: p, Recorder: p, Registry: r, Clock: clock.System{},
 	})
 }
 
-// noPressure lets all requests pass.
-type noPressure struct{}
+func (p *parts) Allow(call.Context) error { return p.overload }
 
-func (noPressure) Allow(call.Context) error { return nil }
-
-func (noPressure) Observe(call.Context, exchange.Answer) {}
+func (p *parts) Observe(call.Context, exchange.Answer) {}
 
 func (p *parts) Current() (configuration.Snapshot, bool) { return p.snapshot, true }
 
@@ -219,3 +217,18 @@
 	answer := p.entry(r).ServeChild(t.Context(), entry.Incoming{Method: "GET", Service: "stock", Path: "/items", Token: token})
 	is.Equal(answer.Refusal.Reason, refusal.Cancelled)
 }
+
+// Work that ran before is never called not run because the service is overloaded
+// now; work that did not run is freed to be sent again.
+func TestOverloadDoesNotHideWorkThatRan(t *testing.T) {
+	is := is.New(t)
+	p := newParts(t)
+	p.overload = refusal.New(refusal.Overloaded)
+	refused := p.entry(registry.New()).Serve(t.Context(), completion())
+	is.Equal(refused.Refusal.Reason, refusal.Overloaded)
+	is.Equal(len(p.forwarded), 0)
+	is.Equal(len(p.finished), 1)
+	is.Equal(p.finished[0].Refusal.Outcome, refusal.NotRun)
+	p.kept = &exchange.Answer{Status: 200}
+	is.Equal(p.entry(registry.New()).Serve(t.Context(), completion()).Status, 200)
+}
