Hold client accounts to their rate in the node

Cause: the entry admitted every request whatever its account's rate. Ruled out: holders by leases in rows of the table service: they end with a store outage. Package ownership keeps them by the members of each shard. Change: merge of the shards' host; each zone's share of each group of accounts is a shard of three members in that zone; the entry takes a token per request.

--- a/internal/process/allotment/shard.go
+++ b/internal/process/allotment/shard.go
@@ -58,11 +58,8 @@
 	return []string{WholeFleet}
 }
 
-// Shards returns all shards of a zone, or those of the whole fleet.
-func Shards(s configuration.Snapshot, zone string) []string {
-	if len(s.Zones()) == 0 {
-		zone = WholeFleet
-	}
+// Shards returns the names of all shards of a zone.
+func Shards(zone string) []string {
 	names := make([]string, 0, Groups)
 	for g := range Groups {
 		names = append(names, Shard{Zone: zone, Group: g}.String())
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,13 +19,16 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/admitter"
+	"github.com/bilberryvane/bilberryvane/internal/process/allotment"
 	"github.com/bilberryvane/bilberryvane/internal/process/burn"
+	"github.com/bilberryvane/bilberryvane/internal/process/claims"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/directory"
 	"github.com/bilberryvane/bilberryvane/internal/process/distribution"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/membership"
 	"github.com/bilberryvane/bilberryvane/internal/process/metrics"
+	"github.com/bilberryvane/bilberryvane/internal/process/ownership"
 	"github.com/bilberryvane/bilberryvane/internal/process/platform"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
@@ -62,6 +65,10 @@
 	strikes     *suspects.Broadcast
 	membership  *membership.Membership
 	directory   *directory.Directory
+	ownership   *ownership.Service
+	claims      *claims.Service
+	allotment   *allotment.Service
+	ratePool    pond.Pool
 	refusals    *refusals.Log
 	metrics     *metrics.Metrics
 	burn        *burn.Recorder
@@ -141,6 +148,9 @@
 	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
 	n.tasks.Go(func() { n.serveWhenReady(ctx) })
+	n.tasks.Go(func() { n.ownership.Run(ctx) })
+	n.tasks.Go(func() { n.claims.Run(ctx) })
+	n.tasks.Go(func() { n.runRate(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
 			n.follower.Run(ctx)
@@ -184,6 +194,7 @@
 	if err := n.idle(ctx); err != nil {
 		return err
 	}
+	n.handOver(ctx)
 	n.membership.Leave()
 	n.cancel()
 	n.tasks.Wait()
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"time"
@@ -87,6 +86,7 @@
 	host := n.settings.Host
 	n.directory = directory.New(n.membership)
 	n.follow()
+	n.own()
 	n.admission = admitter.New(host.Name, newTargets(n.configuration), n.clock)
 	n.strikes = suspects.NewBroadcast(host.Name, n.membership, n.endpoint)
 	watch := suspects.NewWatch(host.Name, n.membership.Self().Incarnation, n.strikes, n.strikes, n.clock, n.log)
@@ -108,8 +108,8 @@
 		Host:          host.Name,
 		Configuration: n.configuration,
 		Backpressure:  pressure.NewGate(n.clock),
-		Rate:          noRate{},
-		Claims:        noClaims{},
+		Rate:          n.allotment,
+		Claims:        n.claims,
 		Forwarder:     forwarder,
 		Recorder:      n,
 		Registry:      n.registry,
@@ -154,23 +154,3 @@
 		"host":       a.Refusal.Host,
 	})
 }
-
-// noRate holds no account to its rate.
-type noRate struct{}
-
-// Take lets the request through.
-func (noRate) Take(context.Context, string, time.Duration) error { return nil }
-
-// noClaims claims nothing.
-type noClaims struct{}
-
-// Claim lets the request through.
-func (noClaims) Claim(context.Context, call.Context) (entry.Claim, exchange.Answer, bool, error) {
-	return noClaim{}, exchange.Answer{}, false, nil
-}
-
-// noClaim is the claim that noClaims gives.
-type noClaim struct{}
-
-// Finish does nothing.
-func (noClaim) Finish(context.Context, exchange.Answer) {}
