--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/connection/operator"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/admitter"
+	"github.com/bilberryvane/bilberryvane/internal/process/allotment"
 	"github.com/bilberryvane/bilberryvane/internal/process/burn"
 	"github.com/bilberryvane/bilberryvane/internal/process/claims"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
@@ -66,6 +67,8 @@
 	directory   *directory.Directory
 	ownership   *ownership.Service
 	claims      *claims.Service
+	allotment   *allotment.Service
+	ratePool    pond.Pool
 	refusals    *refusals.Log
 	metrics     *metrics.Metrics
 	burn        *burn.Recorder
@@ -144,9 +147,10 @@
 func (n *Node) run(ctx context.Context) {
 	n.tasks.Go(func() { n.membership.Run(ctx) })
 	n.tasks.Go(func() { n.watchBackend(ctx) })
+	n.tasks.Go(func() { n.serveWhenReady(ctx) })
 	n.tasks.Go(func() { n.ownership.Run(ctx) })
 	n.tasks.Go(func() { n.claims.Run(ctx) })
-	n.tasks.Go(func() { n.serveWhenReady(ctx) })
+	n.tasks.Go(func() { n.runRate(ctx) })
 	if n.follower != nil {
 		n.tasks.Go(func() {
 			n.follower.Run(ctx)
--- a/internal/process/node/own.go
+++ b/internal/process/node/own.go
@@ -24,9 +24,10 @@
 		Sender:    n.endpoint,
 		Clock:     n.clock,
 		Log:       n.log,
-		Specs:     claims.Specs,
+		Specs:     n.shards,
 	}, shard.NewTerms())
 	n.claims = claims.New(n.ownership, n.endpoint, n.clock, n.log, claim.WithRetention(n.settings.Claims.Retention))
+	n.allot()
 	n.endpoint.Handle(ownership.KindMember, n.ownership.HandleMember)
 	n.endpoint.Handle(ownership.KindStatus, n.ownership.HandleStatus)
 	n.endpoint.Handle(ownership.KindTake, n.ownership.HandleTake)
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"time"
@@ -109,7 +108,7 @@
 		Host:          host.Name,
 		Configuration: n.configuration,
 		Backpressure:  pressure.NewGate(n.clock),
-		Rate:          noRate{},
+		Rate:          n.allotment,
 		Claims:        n.claims,
 		Forwarder:     forwarder,
 		Recorder:      n,
@@ -155,9 +154,3 @@
 		"host":       a.Refusal.Host,
 	})
 }
-
-// noRate holds no account to its rate.
-type noRate struct{}
-
-// Take lets the request through.
-func (noRate) Take(context.Context, string, time.Duration) error { return nil }
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -147,7 +147,7 @@
 	c := call.Context{RequestID: newRequestID(), Service: in.Service, Attempts: defaultAttempts}
 	admitted, work, err := e.admit(c, in, start)
 	if err != nil {
-		return e.finish(c, work, start, asAnswer(err))
+		return e.finish(c, work, start, unconfirmed(admitted, in, asAnswer(err)))
 	}
 	if admitted.Idempotent {
 		if err := e.backpressure.Allow(admitted); err != nil {
@@ -178,6 +178,7 @@
 	c.Class = work.Name
 	c.Importance = work.Importance
 	c.Deadline = now.Add(timeout(in, work))
+	c = c.WithIdempotency(work.Idempotent, in.IdempotencyKey)
 	if !work.Open {
 		if !e.configuration.KeysUsable() {
 			return c, work, refusal.New(refusal.KeysUnconfirmed)
@@ -192,7 +193,7 @@
 	if !work.Idempotent && in.IdempotencyKey == "" {
 		return c, work, refusal.New(refusal.MissingIdempotencyKey)
 	}
-	return c.WithIdempotency(work.Idempotent, in.IdempotencyKey), work, nil
+	return c, work, nil
 }
 
 // ServeChild answers a call that a backend server makes while it runs a request.
@@ -286,6 +287,15 @@
 	return a
 }
 
+// unconfirmed is unclaimed for a refusal by which this host only says that it does
+// not know enough; refusals of what the caller sent stay as they are.
+func unconfirmed(c call.Context, in Incoming, a exchange.Answer) exchange.Answer {
+	if in.IdempotencyKey == "" || a.Refusal.Reason.CallersDoing() {
+		return a
+	}
+	return unclaimed(c, a)
+}
+
 // relayClaimed forwards work that is claimed. An overload refuses it only here,
 // because before the claim it is not known whether the work ran earlier.
 func (e *Entry) relayClaimed(ctx context.Context, r exchange.Request) exchange.Answer {
