--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -86,12 +86,12 @@
 	host := n.settings.Host
 	n.directory = directory.New(n.membership)
 	n.follow()
-	n.own()
 	n.admission = admitter.New(host.Name, newTargets(n.configuration), n.clock)
 	n.strikes = suspects.NewBroadcast(host.Name, n.membership, n.endpoint)
 	watch := suspects.NewWatch(host.Name, n.membership.Self().Incarnation, n.strikes, n.strikes, n.clock, n.log)
 	n.endpoint.Handle(suspects.KindStrikes, watch.Receive)
 	n.strikes.Subscribe(watch.Hear)
+	n.own()
 	executor := execute.New(execute.Parts{
 		Host:       host.Name,
 		Keys:       n.keys,
