--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -92,6 +92,7 @@
 	watch := suspects.NewWatch(host.Name, n.membership.Self().Incarnation, n.strikes, n.strikes, n.clock, n.log)
 	n.endpoint.Handle(suspects.KindStrikes, watch.Receive)
 	n.strikes.Subscribe(watch.Hear)
+	n.own()
 	executor := execute.New(execute.Parts{
 		Host:       host.Name,
 		Keys:       n.keys,
@@ -109,7 +110,7 @@
 		Configuration: n.configuration,
 		Backpressure:  pressure.NewGate(n.clock),
 		Rate:          noRate{},
-		Claims:        noClaims{},
+		Claims:        n.claims,
 		Forwarder:     forwarder,
 		Recorder:      n,
 		Registry:      n.registry,
@@ -160,17 +161,3 @@
 
 // Take lets the request through.
 func (noRate) Take(context.Context, string, time.Duration) error { return nil }
-
-// noClaims claims nothing.
-type noClaims struct{}
-
-// Claim lets the request through.
-func (noClaims) Claim(context.Context, call.Context) (entry.Claim, exchange.Answer, bool, error) {
-	return noClaim{}, exchange.Answer{}, false, nil
-}
-
-// noClaim is the claim that noClaims gives.
-type noClaim struct{}
-
-// Finish does nothing.
-func (noClaim) Finish(context.Context, exchange.Answer) {}
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -158,7 +158,7 @@
 	defer cancel()
 	if admitted.Account != "" {
 		if err := e.rate.Take(limited, admitted.Account, work.Target); err != nil {
-			return e.finish(admitted, work, start, asAnswer(err))
+			return e.finish(admitted, work, start, unclaimed(admitted, asAnswer(err)))
 		}
 	}
 	return e.finish(admitted, work, start, e.once(limited, admitted, in))
@@ -262,7 +262,7 @@
 	}
 	claim, kept, ran, err := e.claims.Claim(ctx, c)
 	if err != nil {
-		return asAnswer(err).WithUnusedAttempts(c.Attempts)
+		return unclaimed(c, asAnswer(err)).WithUnusedAttempts(c.Attempts)
 	}
 	if ran {
 		return kept.WithUnusedAttempts(c.Attempts)
@@ -272,6 +272,20 @@
 	return answer
 }
 
+// unclaimed returns a refusal that was made before it was known whether the work
+// is claimed. Of work that may run only once it can't say that it was not run,
+// because an earlier sending with the same Idempotency-Key may have.
+func unclaimed(c call.Context, a exchange.Answer) exchange.Answer {
+	if c.Idempotent || a.Refusal == nil || a.Refusal.Outcome != refusal.NotRun {
+		return a
+	}
+	const detail = "this sending was not run, but an earlier one with the same Idempotency-Key may have; " +
+		"it is safe to send it again with that key"
+	r := a.Refusal.WithOutcome(refusal.Unknown).WithDetail(detail)
+	a.Refusal = &r
+	return a
+}
+
 // relayClaimed forwards work that is claimed. An overload refuses it only here,
 // because before the claim it is not known whether the work ran earlier.
 func (e *Entry) relayClaimed(ctx context.Context, r exchange.Request) exchange.Answer {
