Wait for the holders of the rate before callers are answered

Cause: fleets that just started refused work for the rate: buckets begin empty after their holder's wait, and nodes served before holders were known. Ruled out: taking the rate after the claim, because a loud account would then load the claims; easing the rate at the start, because it must hold exactly then too. Change: a node is ready when it knows the holders of its zone's rate, or after 10 s. Tests send again what the answer says is safe to send again, as callers do; the fleets of the overload tests have a platform. TestWorkRunsOnceThroughOutageAndLostHolder counts runs as before.

--- a/internal/process/console/console_test.go
+++ b/internal/process/console/console_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -118,7 +119,21 @@
 
 // ask sends a request to every node and returns the reasons of their refusals. A
 // key that works gets as far as no-backend-server, for there is none.
+// ask sends a request to each node and returns the reasons for which they refuse it.
+// The holders of the rate of a fleet that just started give no tokens yet; such
+// refusals are waited out, as callers do.
 func (b *bench) ask(secret string) []string {
+	b.t.Helper()
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(200 * time.Millisecond) {
+		reasons := b.askOnce(secret)
+		waiting := slices.ContainsFunc(reasons, func(r string) bool { return strings.HasPrefix(r, "rate-") })
+		if !waiting || time.Now().After(end) {
+			return reasons
+		}
+	}
+}
+
+func (b *bench) askOnce(secret string) []string {
 	b.t.Helper()
 	var reasons []string
 	for _, h := range b.hosts {
--- a/internal/process/node/overload_test.go
+++ b/internal/process/node/overload_test.go
@@ -88,6 +88,7 @@
 func startWith(t *testing.T, l deployment.Layout, handlers map[string]func(*server) http.HandlerFunc) *fleet {
 	t.Helper()
 	is := is.New(t)
+	_, l.Platform = startPlatform(t)
 	d, err := deployment.Plan(t.TempDir(), l)
 	is.NoErr(err)
 	f := &fleet{t: t, deployment: d, hosts: map[string]*deployment.Running{}, logs: &logBuffer{}}
--- a/internal/process/node/ready.go
+++ b/internal/process/node/ready.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/bilberryvane/bilberryvane/internal/process/allotment"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 )
 
@@ -14,11 +16,11 @@
 	readyPoll = 10 * time.Millisecond
 	// readyTimeout is how long callers wait for that at the most. A node that is
 	// cut off then serves what it can, and refuses the rest with its reason.
-	readyTimeout = 2 * time.Second
+	readyTimeout = 10 * time.Second
 )
 
 // serveWhenReady begins to answer callers once the node can do more than refuse
-// them: it holds a configuration and knows another node.
+// them.
 func (n *Node) serveWhenReady(ctx context.Context) {
 	started := time.Now()
 	for !n.ready() && time.Since(started) < readyTimeout {
@@ -34,8 +36,21 @@
 	})
 }
 
-// ready reports whether the node holds a configuration and knows another node.
+// ready reports whether the node holds a configuration, knows another node and the
+// holders of its zone's rate.
 func (n *Node) ready() bool {
-	_, configured := n.configuration.Current()
-	return configured && len(n.membership.All()) > 1
+	snapshot, configured := n.configuration.Current()
+	if !configured || len(n.membership.All()) < 2 {
+		return false
+	}
+	zone := n.settings.Host.Zone
+	if !slices.Contains(allotment.Zones(snapshot), zone) {
+		return true
+	}
+	for _, name := range allotment.Shards(zone) {
+		if _, ok := n.ownership.HolderAddress(name); !ok {
+			return false
+		}
+	}
+	return true
 }
