Keep idle connections without keep-alives and retire those of a leaving peer

Cause: an idle connection cost 110 B/s by its keep-alives (docs/CAPACITY.md), about 9 KB/s at the planned size; TestRestartedPeerIsReached failed in 1 of 15 runs under load elsewhere, because a call could still use the connection that its leaving peer was closing. Ruled out: a longer keep-alive period, since probes already keep connections with awaited replies alive and notice lost peers; taking the close of a leaving peer as proof that nothing ran, because a reply may be lost. Change: no keep-alives, an idle timeout of twice the idle close; a connection whose peer answered 'leaving' is not used for further calls. Drop, which nobody called, is gone.

--- a/internal/connection/peer/endpoint.go
+++ b/internal/connection/peer/endpoint.go
@@ -28,11 +28,10 @@
 const Protocol = "bilberryvane-1"
 
 const (
-	// idleTimeout is how long a silent connection is thought alive. It bounds
-	// the time to notice a host that is frozen or lost.
-	idleTimeout = 3 * time.Second
-	// keepAlivePeriod keeps connections with slow calls from looking lost.
-	keepAlivePeriod = time.Second
+	// idleTimeout is how long a silent connection is kept. There are no
+	// keep-alives, which would cost bytes on every idle connection: probes keep
+	// connections with slow calls alive and notice a lost peer long before.
+	idleTimeout = 2 * idleClose
 	// handshakeTimeout bounds the start of a connection.
 	handshakeTimeout = time.Second
 	// idleClose is the time after which an unused connection is closed: it bounds
@@ -134,7 +133,6 @@
 		quic: &quic.Config{
 			HandshakeIdleTimeout: handshakeTimeout,
 			MaxIdleTimeout:       idleTimeout,
-			KeepAlivePeriod:      keepAlivePeriod,
 			MaxIncomingStreams:   maxStreams,
 		},
 		calls:    pond.NewPool(callWorkers, pond.WithQueueSize(queuedMessages), pond.WithNonBlocking(true)),
@@ -179,18 +177,6 @@
 	e.handlers[k] = h
 }
 
-// Drop closes the connection to an address, for a host that is known to be lost.
-// Messages in flight to it end with ErrNoAnswer.
-func (e *Endpoint) Drop(address string) {
-	e.mu.Lock()
-	l := e.links[address]
-	delete(e.links, address)
-	e.mu.Unlock()
-	if l != nil {
-		l.close()
-	}
-}
-
 const (
 	// drainPoll is how often a leaving endpoint looks whether calls are under way.
 	drainPoll = 5 * time.Millisecond
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -88,6 +88,16 @@
 	return func() { timer.Stop() }
 }
 
+// retire makes further messages use a new connection, because the peer is about to
+// close this one. Replies that are awaited still come on it.
+func (l *link) retire(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.conn = nil
+	}
+}
+
 // closeIdle closes the connection if no message used it since the last look.
 func (l *link) closeIdle() {
 	if l.used.Swap(false) {
--- a/internal/connection/peer/send.go
+++ b/internal/connection/peer/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 )
 
@@ -45,7 +46,11 @@
 		stream.CancelRead(codeCancelled)
 		return nil, fmt.Errorf("%w: from %s: %w", ErrNoAnswer, address, err)
 	}
-	return reply.result()
+	result, err := reply.result()
+	if errors.Is(err, ErrLeaving) {
+		l.retire(conn)
+	}
+	return result, err
 }
 
 // result turns a reply into the body or the error that it stands for.
