--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -50,7 +50,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
-		return nil, errors.New("connection was dropped")
+		return nil, errors.New("endpoint is closed")
 	}
 	if l.conn != nil && l.conn.Context().Err() == nil {
 		return l.conn, nil
@@ -72,7 +72,7 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	if l.conn != nil {
-		l.conn.CloseWithError(codeDone, "dropped")
+		l.conn.CloseWithError(codeDone, "closed")
 	}
 }
 
