Run on the users' platform: a thin whole path

The node on the platform is a second main over the same decisions. Package ingress serves callers, relay takes requests to backend servers, trunk and mesh carry orders and notices between nodes, station knows the backend server of the host, quota splits the rates by demand, and platform translates.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -38,6 +38,13 @@
 	return func(c *Controller) { c.hold = d }
 }
 
+// WithFixedLimit makes the announced slots the limit, for backend servers whose
+// time in a slot tells nothing about their load, such as those that wait for
+// calls of their own which the controller can't see.
+func WithFixedLimit() Option {
+	return func(c *Controller) { c.limit.fix() }
+}
+
 // A Controller decides for one backend server. Its invariants: running requests
 // never exceed the limit by an admission of its own; a slot never stands idle
 // while a request waits; and when a request is shed as overloaded, no request
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -74,6 +74,8 @@
 	capacity Capacity
 	current  float64
 	starting bool
+	// fixed keeps the limit at the announced capacity.
+	fixed    bool
 	baseline time.Duration
 	window   window
 	// raised is the number of windows in a row with a raised mean.
@@ -111,7 +113,17 @@
 	if c.Slots > 0 {
 		start = math.Ceil(startShare * float64(c.Slots))
 	}
-	*l = Limit{capacity: c, current: math.Min(start, float64(c.ceiling())), starting: true}
+	fixed := l.fixed
+	*l = Limit{capacity: c, current: math.Min(start, float64(c.ceiling())), starting: true, fixed: fixed}
+	if fixed {
+		l.current = float64(c.ceiling())
+	}
+}
+
+// fix keeps the limit at the announced capacity from now on.
+func (l *Limit) fix() {
+	l.fixed = true
+	l.current = float64(l.capacity.ceiling())
 }
 
 // Resize takes in another announcement of the same backend server. The first
@@ -123,6 +135,9 @@
 	}
 	l.capacity = c
 	l.current = math.Min(l.current, float64(c.ceiling()))
+	if l.fixed {
+		l.current = float64(c.ceiling())
+	}
 }
 
 // Value returns the number of requests that may be in the backend server. It
@@ -135,6 +150,9 @@
 // Observe takes in a completion; running is the number of requests that were
 // in the backend server with it.
 func (l *Limit) Observe(now time.Time, c Completion, running int) {
+	if l.fixed {
+		return
+	}
 	w := &l.window
 	if w.start.IsZero() {
 		w.start = now
--- /dev/null
+++ b/cmd/bilberryvane-sidecar/main.go
@@ -0,0 +1,75 @@
+// Command bilberryvane-sidecar is the node on the users' platform: one process
+// beside each backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/clock"
+	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/sidecar"
+	"github.com/bilberryvane/bilberryvane/platform"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// lastLines bounds the wait for a reader of the log at the end.
+const lastLines = 200 * time.Millisecond
+
+type arguments struct {
+	Check bool `arg:"--check" help:"check the settings and exit"`
+}
+
+// Description tells what the command does.
+func (arguments) Description() string {
+	return "bilberryvane-sidecar is the node of bilberryvane on the users' platform: one process beside each backend server."
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	s, err := platform.ReadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if a.Check {
+		return
+	}
+	os.Exit(run(s))
+}
+
+func run(s sidecar.Settings) int {
+	output := event.NewOutput(os.Stdout)
+	defer output.Close(lastLines)
+	lines := event.NewLog(&log.Logger{Handler: json.New(output), Level: log.InfoLevel})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := sidecar.Run(ctx, s, sidecar.Parts{
+		Store:              platform.NewStore(s.Store),
+		Dialect:            platform.Dialect{},
+		Service:            platform.Service{Log: lines},
+		Decode:             platform.Decode,
+		ConfigurationTable: platform.ConfigurationTable,
+		ConfigurationKey:   platform.ConfigurationKey,
+		Clock:              clock.System{},
+		Log:                lines,
+	})
+	if err != nil {
+		return exitFailed
+	}
+	return 0
+}
--- a/internal/process/admitter/admitter.go
+++ b/internal/process/admitter/admitter.go
@@ -49,10 +49,11 @@
 }
 
 // New returns an Admitter of a backend server that has not announced itself.
-func New(host string, t Targets, c clock.Clock) *Admitter {
+// The options are those of its admission.Controller.
+func New(host string, t Targets, c clock.Clock, options ...admission.Option) *Admitter {
 	return &Admitter{
 		host: host, targets: t, clock: c,
-		controller: admission.New(admission.Capacity{}),
+		controller: admission.New(admission.Capacity{}, options...),
 		waiting:    make(map[uint64]chan decision),
 	}
 }
--- /dev/null
+++ b/internal/process/mesh/notice.go
@@ -0,0 +1,24 @@
+package mesh
+
+import "github.com/bilberryvane/bilberryvane/internal/process/fleet"
+
+// ProtocolVersion is the version of the messages between nodes. Notices of
+// another version are dropped.
+const ProtocolVersion = 1
+
+// A Notice is what a node tells another one, several times a second and at once
+// after a change.
+type Notice struct {
+	Protocol int `cbor:"1,keyasint"`
+	// Host is the sender's own record.
+	Host fleet.Host `cbor:"2,keyasint"`
+	// Known are the records of other hosts; only in the first notice of a trunk.
+	Known []fleet.Host `cbor:"3,keyasint,omitempty"`
+	// Version is the version of the configuration in force at the sender.
+	Version uint64 `cbor:"4,keyasint,omitempty"`
+	// Content is that configuration as the operator wrote it, for a node that
+	// has an older one.
+	Content []byte `cbor:"5,keyasint,omitempty"`
+	// Demand is the sender's recent requests per second by client account.
+	Demand map[string]float64 `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/process/quota/quota.go
@@ -0,0 +1,106 @@
+// Package quota holds client accounts to their rates at one node. Package rate
+// decides how the rate is split over the hosts; this package adds the lock and
+// the demand that other hosts report. Package mesh exchanges the demand.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/clock"
+	"github.com/bilberryvane/bilberryvane/internal/version/traffic"
+	"github.com/bilberryvane/bilberryvane/rate"
+)
+
+// leastDemand in requests per second is told to other hosts; less is left out.
+const leastDemand = 0.05
+
+// A Quota holds accounts to their rates. It is safe for concurrent use.
+type Quota struct {
+	clock clock.Clock
+
+	// mu guards all below.
+	mu     sync.Mutex
+	hosts  int
+	splits map[string]*rate.Split
+	limits map[string]limit
+	// demand holds the last reported demand by host and account.
+	demand map[string]map[string]float64
+}
+
+type limit struct{ rate, burst float64 }
+
+// New returns a Quota for a fleet of unknown size.
+func New(c clock.Clock) *Quota {
+	return &Quota{
+		clock: c, hosts: 1,
+		splits: make(map[string]*rate.Split),
+		limits: make(map[string]limit),
+		demand: make(map[string]map[string]float64),
+	}
+}
+
+// Take takes one request of an account's rate. It returns when to come back if
+// there is none. It implements relay.Rates.
+func (q *Quota) Take(now time.Time, a traffic.Account) (time.Duration, bool) {
+	if a.Rate <= 0 {
+		return 0, true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	wanted := limit{a.Rate, a.Burst}
+	s, ok := q.splits[a.Name]
+	if !ok {
+		s = rate.NewSplit(now, a.Rate, a.Burst, q.hosts)
+		q.splits[a.Name] = s
+		q.limits[a.Name] = wanted
+	}
+	if q.limits[a.Name] != wanted {
+		s.Resize(now, a.Rate, a.Burst)
+		q.limits[a.Name] = wanted
+	}
+	return s.Take(now)
+}
+
+// Demand returns the recent requests per second by account.
+func (q *Quota) Demand() map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	demand := make(map[string]float64, len(q.splits))
+	for name, s := range q.splits {
+		if d := s.Demand(now); d > leastDemand {
+			demand[name] = d
+		}
+	}
+	return demand
+}
+
+// Heard takes in the demand at another host.
+func (q *Quota) Heard(host string, demand map[string]float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.demand[host] = demand
+}
+
+// Split shares the rates anew among the hosts of the fleet. A host that is known
+// but silent keeps its last demand; one that is gone is forgotten.
+func (q *Quota) Split(hosts map[string]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	q.hosts = max(1, len(hosts))
+	others := make(map[string]float64)
+	for host, demand := range q.demand {
+		if !hosts[host] {
+			delete(q.demand, host)
+			continue
+		}
+		for account, d := range demand {
+			others[account] += d
+		}
+	}
+	for name, s := range q.splits {
+		s.Share(now, others[name], q.hosts)
+	}
+}
--- a/internal/process/settings/options.go
+++ b/internal/process/settings/options.go
@@ -37,11 +37,11 @@
 	},
 	{
 		section: "listen", key: "callers", required: true, about: "The IP address and port for callers, over HTTP.",
-		read: func(r *Settings, s *document.Section, k string) { r.Listen.Callers = readAddress(s, k, "") },
+		read: func(r *Settings, s *document.Section, k string) { r.Listen.Callers = s.Address(k, "") },
 	},
 	{
 		section: "listen", key: "peers", required: true, about: "The IP address and UDP port for other nodes, over QUIC.",
-		read: func(r *Settings, s *document.Section, k string) { r.Listen.Peers = readAddress(s, k, "") },
+		read: func(r *Settings, s *document.Section, k string) { r.Listen.Peers = s.Address(k, "") },
 	},
 	{
 		section: "listen", key: "backend-server", required: true,
@@ -50,7 +50,7 @@
 	},
 	{
 		section: "listen", key: "operators", required: true, about: "The IP address and port for the operators' tool.",
-		read: func(r *Settings, s *document.Section, k string) { r.Listen.Operators = readAddress(s, k, "") },
+		read: func(r *Settings, s *document.Section, k string) { r.Listen.Operators = s.Address(k, "") },
 	},
 	{
 		section: "platform", key: "table-endpoint", required: true, about: "The URL of the table service.",
@@ -166,7 +166,7 @@
 }
 
 func readBackendAddress(r *Settings, s *document.Section, key string) {
-	r.Listen.Backend = readAddress(s, key, "")
+	r.Listen.Backend = s.Address(key, "")
 	host, _, err := net.SplitHostPort(r.Listen.Backend)
 	if address := net.ParseIP(host); err == nil && address != nil && !address.IsLoopback() {
 		s.Report(key, "key %q: %q is not a loopback address", key, r.Listen.Backend)
@@ -176,7 +176,7 @@
 func readSeeds(r *Settings, s *document.Section, key string) {
 	r.Peers.Seeds = s.List(key)
 	for _, seed := range r.Peers.Seeds {
-		if err := checkAddress(seed); err != nil {
+		if err := document.CheckAddress(seed); err != nil {
 			s.Report(key, "key %q: %v", key, err)
 		}
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -4,8 +4,6 @@
 package settings
 
 import (
-	"fmt"
-	"net"
 	"time"
 
 	"github.com/bilberryvane/bilberryvane/internal/version/document"
@@ -166,26 +164,3 @@
 	}
 	o.read(read, s, o.key)
 }
-
-// readAddress reads an IP address with a port.
-func readAddress(s *document.Section, key, fallback string) string {
-	text := s.Text(key, fallback)
-	if !s.Has(key) {
-		return text
-	}
-	if err := checkAddress(text); err != nil {
-		s.Report(key, "key %q: %v", key, err)
-	}
-	return text
-}
-
-func checkAddress(text string) error {
-	host, _, err := net.SplitHostPort(text)
-	if err != nil {
-		return fmt.Errorf("%q is not an IP address with a port: %w", text, err)
-	}
-	if net.ParseIP(host) == nil {
-		return fmt.Errorf("%q does not start with an IP address", text)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/process/sidecar/budget.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"sync"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/clock"
+	"github.com/bilberryvane/bilberryvane/retry"
+)
+
+const (
+	// repeatShare is the part of the fleet's repeats that nodes use. The rest is
+	// left for calls that a repeated request makes anew, which count as repeats
+	// where they arrive, and for what one window counts of its neighbours.
+	repeatShare = 0.5
+	// reserveShare is the part of the fleet's reserve that all nodes may use
+	// together.
+	reserveShare = 0.5
+)
+
+// A budget bounds the requests that the node sends to a further backend server,
+// by service. It is safe for concurrent use.
+type budget struct {
+	limits Retries
+	hosts  func() int
+	clock  clock.Clock
+
+	// mu guards services.
+	mu       sync.Mutex
+	services map[string]*retry.Budget
+}
+
+func newBudget(r Retries, hosts func() int, c clock.Clock) *budget {
+	return &budget{limits: r, hosts: hosts, clock: c, services: make(map[string]*retry.Budget)}
+}
+
+// Allow reports whether one more request is within the budget.
+func (b *budget) Allow(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.service(service).Retry(b.clock.Now())
+}
+
+// Sent counts the first sending of a request.
+func (b *budget) Sent(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.service(service).Succeeded(b.clock.Now())
+}
+
+// service returns the budget of a service; mu must be held.
+func (b *budget) service(name string) *retry.Budget {
+	s, ok := b.services[name]
+	if !ok {
+		reserve := reserveShare * float64(b.limits.Reserve) / float64(max(1, b.hosts()))
+		s = retry.NewBudget(
+			retry.WithShare(repeatShare*b.limits.Share),
+			retry.WithReserve(reserve),
+			retry.WithHalfLife(b.limits.Window / 2),
+		)
+		b.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/process/sidecar/counters.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
+)
+
+// latencyBounds are the upper bounds of the latency histogram, in milliseconds.
+var latencyBounds = [...]int64{1, 2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000}
+
+// counters are the node's counters. They are served as text, one per line.
+type counters struct {
+	answered, inTarget expvar.Int
+	refused            *expvar.Map
+	latency            [len(latencyBounds) + 1]expvar.Int
+	latencySum         expvar.Int
+}
+
+func newCounters() *counters { return &counters{refused: new(expvar.Map).Init()} }
+
+// Ended counts one request. It implements relay.Counter.
+func (c *counters) Ended(reason refusal.Reason, target, elapsed time.Duration) {
+	if reason != "" {
+		c.refused.Add(string(reason), 1)
+		return
+	}
+	c.answered.Add(1)
+	if elapsed <= target {
+		c.inTarget.Add(1)
+	}
+	ms := elapsed.Milliseconds()
+	c.latencySum.Add(ms)
+	at := 0
+	for at < len(latencyBounds) && ms > latencyBounds[at] {
+		at++
+	}
+	c.latency[at].Add(1)
+}
+
+// Serve writes the counters in the text form that common collectors read. It
+// implements ingress.Handler.
+func (c *counters) Serve(_ context.Context, _ *fasthttp.Request, response *fasthttp.Response) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "bilberryvane_requests_answered_total %d\n", c.answered.Value())
+	fmt.Fprintf(&b, "bilberryvane_answers_in_target_total %d\n", c.inTarget.Value())
+	c.refused.Do(func(v expvar.KeyValue) {
+		fmt.Fprintf(&b, "bilberryvane_requests_refused_total{reason=%q} %s\n", v.Key, v.Value)
+	})
+	total := int64(0)
+	for i, bound := range latencyBounds {
+		total += c.latency[i].Value()
+		fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_bucket{le=\"%d\"} %d\n", bound, total)
+	}
+	total += c.latency[len(latencyBounds)].Value()
+	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_bucket{le=\"+Inf\"} %d\n", total)
+	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_sum %d\n", c.latencySum.Value())
+	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_count %d\n", total)
+	response.Header.SetContentType("text/plain; version=0.0.4")
+	response.SetBodyString(b.String())
+}
--- /dev/null
+++ b/internal/process/sidecar/hosts.go
@@ -0,0 +1,129 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
+)
+
+// writeTimeout bounds a write to the store.
+const writeTimeout = time.Second
+
+// A record is the node's own record: it changes with the backend server and with
+// the node's shutdown, and is written to the store after each change.
+type record struct {
+	directory *fleet.Directory
+	store     Store
+	log       event.Log
+	lost      *dependency
+	wake      chan struct{}
+
+	// mu guards host.
+	mu   sync.Mutex
+	host fleet.Host
+}
+
+// Host returns the present record.
+func (r *record) Host() fleet.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.host
+}
+
+// change makes a new revision of the record and has it written.
+func (r *record) change(f func(*fleet.Host)) {
+	r.mu.Lock()
+	f(&r.host)
+	r.host.Revision++
+	changed := r.host
+	r.mu.Unlock()
+	r.directory.Merge(changed)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// outrank raises the record above one of the same host that others hold, such as
+// of an earlier process whose clock was ahead.
+func (r *record) outrank(other fleet.Host) bool {
+	r.mu.Lock()
+	below := other.Newer(r.host)
+	r.mu.Unlock()
+	if below {
+		r.change(func(h *fleet.Host) { h.Incarnation = other.Incarnation + 1 })
+	}
+	return below
+}
+
+// run writes the record after each change until the context ends.
+func (r *record) run(ctx context.Context) {
+	var written fleet.Host
+	for ctx.Err() == nil {
+		present := r.Host()
+		if present != written {
+			if err := r.write(ctx, present); err != nil {
+				rest(ctx, storePause)
+				continue
+			}
+			written = present
+			continue
+		}
+		select {
+		case <-r.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *record) write(ctx context.Context, h fleet.Host) error {
+	content, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	version, err := r.store.Write(ctx, hostsTable, h.Name, content)
+	r.lost.note(err)
+	if err == nil {
+		r.log.Emit(event.RecordWritten, log.Fields{
+			"incarnation": h.Incarnation, "revision": h.Revision, "version": version,
+			"backend-server": h.Backend.ID, "state": h.Backend.State,
+		})
+	}
+	return err
+}
+
+// takeHosts takes in rows of the table of hosts.
+func (n *Node) takeHosts(rows []Row) {
+	own := n.settings.Name
+	for _, row := range rows {
+		if row.Removed {
+			if h, ok := n.directory.Host(row.Key); ok && row.Key != own && !n.mesh.Connected(row.Key) {
+				n.directory.Remove(h)
+			}
+			continue
+		}
+		var h fleet.Host
+		if err := json.Unmarshal(row.Value, &h); err != nil || h.Name != row.Key {
+			n.log.Emit(event.HostUnreadable, log.Fields{"row": row.Key, "version": row.Version})
+			continue
+		}
+		if h.Name == own {
+			n.record.outrank(h)
+			continue
+		}
+		if n.directory.Merge(h) {
+			n.log.Emit(event.HostChanged, log.Fields{
+				"peer": h.Name, "backend-server": h.Backend.ID, "state": h.Backend.State, "leaving": h.Leaving,
+				"incarnation": h.Incarnation, "revision": h.Revision, "from": "store", "version": row.Version,
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/sidecar/shutdown.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/ingress"
+	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
+)
+
+const (
+	// moveTime is how long a leaving node still serves new requests: callers
+	// learn after two missed readiness checks, a second apart, that it leaves.
+	moveTime = 2500 * time.Millisecond
+	// quietTime without a request ends the serving after moveTime.
+	quietTime = 200 * time.Millisecond
+	// endMargin is kept back from the grace time to close everything.
+	endMargin = 500 * time.Millisecond
+	// idlePoll is how often a leaving node looks whether requests are running.
+	idlePoll = 20 * time.Millisecond
+)
+
+// Shutdown lets others know that the node leaves, answers what is in flight and
+// ends the node within the grace time of the settings.
+func (n *Node) Shutdown() {
+	start := n.clock.Now()
+	n.log.Emit(event.NodeLeaving, log.Fields{"host": n.settings.Name})
+	n.leaving.Store(true)
+	n.record.change(func(h *fleet.Host) { h.Leaving = true })
+	n.tell()
+	n.callers.Drain()
+	n.finish(start)
+	n.cancel()
+	n.tasks.Wait()
+	n.close()
+	n.log.Emit(event.NodeStopped, log.Fields{"host": n.settings.Name, "took": n.clock.Now().Sub(start).String()})
+}
+
+// finish waits until no request has been running for a while, or the grace time
+// is nearly over.
+func (n *Node) finish(start time.Time) {
+	quietSince := n.clock.Now()
+	for {
+		now := n.clock.Now()
+		running := n.callers.Active() + n.admission.Load().Running
+		if running > 0 {
+			quietSince = now
+		}
+		if now.Sub(start) >= moveTime && now.Sub(quietSince) >= quietTime {
+			return
+		}
+		if now.Sub(start) >= n.settings.Grace-endMargin {
+			n.log.Emit(event.RequestUnfinished, log.Fields{"running": running})
+			return
+		}
+		time.Sleep(idlePoll)
+	}
+}
+
+// close closes all that is open.
+func (n *Node) close() {
+	for _, s := range []*ingress.Server{n.callers, n.announcements, n.readiness, n.metrics} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	if n.mesh != nil {
+		n.mesh.Close()
+	}
+}
+
+// Run runs a node until the context ends, then shuts it down.
+func Run(ctx context.Context, s Settings, p Parts) error {
+	n, err := Start(s, p)
+	if err != nil {
+		p.Log.Emit(event.StartFailed, log.Fields{"error": err.Error()})
+		return err
+	}
+	<-ctx.Done()
+	n.Shutdown()
+	return nil
+}
--- /dev/null
+++ b/internal/request/relay/entry.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/clock"
+	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/request/call"
+	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
+	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
+	"github.com/bilberryvane/bilberryvane/internal/version/class"
+	"github.com/bilberryvane/bilberryvane/internal/version/traffic"
+)
+
+const (
+	// topImportance is that of rank 0; each further rank is one less.
+	topImportance class.Importance = 10
+	// callImportance is that of calls made by running work: they go before new
+	// work, because work was already spent on the request that makes them.
+	callImportance = topImportance + 1
+	// startRetryAfter is when to come back to a node that is starting.
+	startRetryAfter = 200 * time.Millisecond
+	// defaultPatience is the time allowed where neither the caller nor the route
+	// names one.
+	defaultPatience = 30 * time.Second
+)
+
+// Configuration is the version in force.
+type Configuration interface {
+	// Snapshot returns the newest version; nil before the first one is known.
+	Snapshot() *traffic.Snapshot
+}
+
+// Rates hold client accounts to their rates.
+type Rates interface {
+	// Take takes one request of an account's rate. It returns when to come back
+	// if there is none.
+	Take(now time.Time, a traffic.Account) (wait time.Duration, ok bool)
+}
+
+// An Entry serves the requests that reach a node. It is safe for concurrent use.
+type Entry struct {
+	host          string
+	service       string
+	configuration Configuration
+	rates         Rates
+	sender        *Sender
+	dialect       Dialect
+	clock         clock.Clock
+	log           event.Log
+	counts        Counter
+}
+
+// A Counter counts how requests ended.
+type Counter interface {
+	// Ended counts one request; reason is empty for an answer.
+	Ended(reason refusal.Reason, target, elapsed time.Duration)
+}
+
+// EntryParts are what an Entry works with; all are needed.
+type EntryParts struct {
+	Host string
+	// Service is the service whose backend server runs on the host.
+	Service       string
+	Configuration Configuration
+	Rates         Rates
+	Sender        *Sender
+	Dialect       Dialect
+	Clock         clock.Clock
+	Log           event.Log
+	Counter       Counter
+}
+
+// NewEntry returns the Entry of a host.
+func NewEntry(p EntryParts) *Entry {
+	return &Entry{
+		host: p.Host, service: p.Service, configuration: p.Configuration, rates: p.Rates,
+		sender: p.Sender, dialect: p.Dialect, clock: p.Clock, log: p.Log, counts: p.Counter,
+	}
+}
+
+// Serve answers a request. It implements ingress.Handler.
+func (e *Entry) Serve(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+	now := e.clock.Now()
+	arrival, err := e.dialect.Arrival(request)
+	if err != nil {
+		r := refusal.New(refusal.BadRequest).WithDetail(err.Error())
+		e.answer(response, arrival, traffic.Route{}, now, exchange.Refused(r))
+		return
+	}
+	o, route, err := e.accept(now, arrival, request)
+	if err != nil {
+		e.answer(response, arrival, route, now, refused(err))
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, o.Context.Deadline)
+	defer cancel()
+	e.answer(response, arrival, route, now, e.sender.Send(ctx, o, route))
+}
+
+// accept checks whether a request may run and makes its order. The error is a
+// refusal.Refusal.
+func (e *Entry) accept(now time.Time, a Arrival, request *fasthttp.Request) (Order, traffic.Route, error) {
+	snapshot := e.configuration.Snapshot()
+	if snapshot == nil {
+		return Order{}, traffic.Route{}, refusal.New(refusal.NoConfiguration).WithRetryAfter(startRetryAfter)
+	}
+	uri := string(request.Header.RequestURI())
+	authority := string(request.Header.Host())
+	route, ok := snapshot.Route(authority, uri)
+	if !ok {
+		return Order{}, route, refusal.New(refusal.UnknownClass)
+	}
+	account, err := identify(snapshot, route, a.Key)
+	if err != nil {
+		return Order{}, route, err
+	}
+	if account.Name != "" {
+		if wait, ok := e.rates.Take(now, account); !ok {
+			return Order{}, route, refusal.New(refusal.RateExceeded).WithRetryAfter(wait)
+		}
+	}
+	o := Order{
+		Context:   contextOf(now, a, route, account, snapshot.Version()),
+		Method:    string(request.Header.Method()),
+		URI:       uri,
+		Authority: authority,
+		Headers:   e.dialect.Headers(request),
+		Body:      request.Body(),
+		Caller:    e.service,
+	}
+	o.Context.Service = choose(route.Shares)
+	return o, route, nil
+}
+
+// identify returns the client account that holds the key; the zero Account for
+// routes that are open to all.
+func identify(s *traffic.Snapshot, r traffic.Route, key string) (traffic.Account, error) {
+	if r.Open || !s.Guarded() {
+		return traffic.Account{}, nil
+	}
+	if key == "" {
+		return traffic.Account{}, refusal.New(refusal.MissingKey)
+	}
+	account, ok := s.AccountOfKey(key)
+	if !ok {
+		return traffic.Account{}, refusal.New(refusal.UnknownKey)
+	}
+	return account, nil
+}
+
+// contextOf returns the context of a request. Requests on open routes come from
+// backend servers that are running work.
+func contextOf(now time.Time, a Arrival, r traffic.Route, account traffic.Account, version uint64) call.Context {
+	rank := r.Rank
+	if account.Ranked {
+		rank = account.Rank
+	}
+	c := call.Context{
+		RequestID:            a.ID,
+		Account:              account.Name,
+		Class:                r.Name,
+		Importance:           max(class.MinImportance, topImportance-class.Importance(rank)),
+		Attempts:             max(1, r.Attempts),
+		Idempotent:           r.Idempotent,
+		ConfigurationVersion: version,
+		Deadline:             now.Add(patience(a, r)),
+	}
+	if r.Open {
+		c.Importance = callImportance
+		c.Depth = 1
+	}
+	return c
+}
+
+// patience returns the time in which a request must be answered.
+func patience(a Arrival, r traffic.Route) time.Duration {
+	allowed := a.Patience
+	if allowed <= 0 {
+		allowed = defaultPatience
+	}
+	if r.Timeout > 0 {
+		allowed = min(allowed, r.Timeout)
+	}
+	return allowed
+}
+
+// choose picks a service by its weight.
+func choose(shares []traffic.Share) string {
+	if len(shares) == 1 {
+		return shares[0].Service
+	}
+	total := 0.0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	at := rand.Float64() * total
+	for _, s := range shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return shares[len(shares)-1].Service
+}
+
+// answer writes an answer or a refusal, counts it and logs a refusal.
+func (e *Entry) answer(response *fasthttp.Response, a Arrival, route traffic.Route, start time.Time, answer exchange.Answer) {
+	elapsed := e.clock.Now().Sub(start)
+	var reason refusal.Reason
+	if r := answer.Refusal; r != nil {
+		named := r.WithRequest(a.ID, e.host).WithClass(route.Name, route.Target)
+		answer.Refusal = &named
+		reason = named.Reason
+		e.log.Emit(event.RequestRefused, log.Fields{
+			"request": a.ID, "at": "entry", "reason": named.Reason, "outcome": named.Outcome, "route": route.Name,
+			"elapsed": elapsed.String(), "patience": a.Patience.String(),
+			"retry-after": named.RetryAfter.String(), "detail": named.Detail, "host": r.Host,
+		})
+	}
+	e.counts.Ended(reason, route.Target, elapsed)
+	e.dialect.Answer(response, a.ID, answer)
+}
+
+// ended returns the reason for which a request's context ended.
+func ended(ctx context.Context) refusal.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.DeadlinePassed
+	}
+	return refusal.Cancelled
+}
--- a/internal/version/document/section.go
+++ b/internal/version/document/section.go
@@ -1,7 +1,9 @@
 package document
 
 import (
+	"fmt"
 	"math"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -165,3 +167,27 @@
 		return fallback
 	}
 }
+
+// Address returns an IP address with a port.
+func (s *Section) Address(key, fallback string) string {
+	text := s.Text(key, fallback)
+	if !s.Has(key) {
+		return text
+	}
+	if err := CheckAddress(text); err != nil {
+		s.Report(key, "key %q: %v", key, err)
+	}
+	return text
+}
+
+// CheckAddress reports a text that is not an IP address with a port.
+func CheckAddress(text string) error {
+	host, _, err := net.SplitHostPort(text)
+	if err != nil {
+		return fmt.Errorf("%q is not an IP address with a port: %w", text, err)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q does not start with an IP address", text)
+	}
+	return nil
+}
--- /dev/null
+++ b/rate/split.go
@@ -0,0 +1,97 @@
+package rate
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandHalfLife is the time in which counted demand loses half its weight.
+	demandHalfLife = time.Second
+	// evenPart of the rate is split evenly over the hosts, so that each can
+	// begin to take requests; the rest follows demand.
+	evenPart = 0.2
+	// leastBurst is the least number of tokens that a host's part can hold, so
+	// that an account with a small burst is not refused at every host.
+	leastBurst = 1.5
+)
+
+// A Split is one host's part of a client account's rate where no host holds the
+// rate for all. Each host takes the part of the rate that its demand has in the
+// demand of all hosts, as it last heard of them. The parts sum to the rate while
+// hosts hear of one another; a host that hears nothing goes on with the part that
+// it had, and the others count its last demand as its own. A Split is
+// deterministic and holds no lock.
+type Split struct {
+	rate, burst float64
+	tokens      float64
+	part        float64
+	demand      float64
+	filled      time.Time
+	counted     time.Time
+}
+
+// NewSplit returns a host's part of an account's rate in a fleet of so many
+// hosts. It begins with its even part of the burst.
+func NewSplit(now time.Time, rate, burst float64, hosts int) *Split {
+	s := &Split{rate: rate, burst: burst, part: 1 / float64(max(1, hosts)), filled: now, counted: now}
+	s.tokens = s.bound()
+	return s
+}
+
+// Resize takes in another rate and burst.
+func (s *Split) Resize(now time.Time, rate, burst float64) {
+	s.fill(now)
+	s.rate, s.burst = rate, burst
+	s.tokens = math.Min(s.tokens, s.bound())
+}
+
+// Share sets the host's part from the demand of the other hosts, in requests per
+// second, and the number of all hosts.
+func (s *Split) Share(now time.Time, others float64, hosts int) {
+	s.fill(now)
+	own := s.Demand(now)
+	even := 1 / float64(max(1, hosts))
+	wanted := even
+	if own+others > 0 {
+		wanted = own / (own + others)
+	}
+	s.part = evenPart*even + (1-evenPart)*wanted
+	s.tokens = math.Min(s.tokens, s.bound())
+}
+
+// Take takes one request and reports whether the host's part allows it. If not,
+// it returns when the next token is there. Demand counts either way.
+func (s *Split) Take(now time.Time) (time.Duration, bool) {
+	s.fill(now)
+	s.count(now)
+	if s.tokens >= 1 {
+		s.tokens--
+		return 0, true
+	}
+	perSecond := s.rate * s.part
+	if perSecond <= 0 {
+		return time.Second, false
+	}
+	return time.Duration((1 - s.tokens) / perSecond * float64(time.Second)), false
+}
+
+// Demand returns the recent requests per second.
+func (s *Split) Demand(now time.Time) float64 {
+	age := now.Sub(s.counted)
+	return s.demand * math.Exp2(-float64(max(0, age))/float64(demandHalfLife))
+}
+
+func (s *Split) count(now time.Time) {
+	// A count that halves each demandHalfLife settles at rate * halfLife / ln 2.
+	s.demand = s.Demand(now) + math.Ln2/demandHalfLife.Seconds()
+	s.counted = now
+}
+
+func (s *Split) bound() float64 { return math.Max(leastBurst, s.burst*s.part) }
+
+func (s *Split) fill(now time.Time) {
+	elapsed := max(0, now.Sub(s.filled))
+	s.filled = now
+	s.tokens = math.Min(s.bound(), s.tokens+elapsed.Seconds()*s.rate*s.part)
+}
