--- a/admission/plan.go
+++ b/admission/plan.go
@@ -17,6 +17,10 @@
 	leastAdmitted = 0.5
 	// leastRootCost in slots per request per second is what counts as using a service.
 	leastRootCost = 0.0005
+	// leastRefusing is the share of refused calls from which repeats are planned.
+	leastRefusing = 0.05
+	// leastRunShare bounds the repeats that are expected of one call.
+	leastRunShare = 0.1
 	// costGain is the weight of a new measurement of a cost.
 	costGain = 0.3
 	// fullWaiting is the share of the slots whose number of waiting requests
@@ -56,6 +60,11 @@
 	Slots   float64 `cbor:"2,keyasint"`
 	// Busy is the mean number of slots in use, by class of the root request.
 	Busy map[string]float64 `cbor:"3,keyasint,omitempty"`
+	// Runs is the number of calls per second that were run, by class of the root
+	// request; TurnedAway is the share of all calls handed over that the backend
+	// server refused to run.
+	Runs       map[string]float64 `cbor:"6,keyasint,omitempty"`
+	TurnedAway float64            `cbor:"7,keyasint,omitempty"`
 	// Waiting is the mean number of requests that wait for a slot.
 	Waiting float64 `cbor:"4,keyasint,omitempty"`
 	// Demand is what callers ask of the host.
@@ -75,10 +84,13 @@
 //
 // A Plan is deterministic and holds no lock.
 type Plan struct {
-	reports map[string]timedReport
-	costs   map[classService]float64
-	trims   map[string]float64
-	shares  map[Flow]float64
+	repeatShare float64
+	reports     map[string]timedReport
+	costs       map[classService]float64
+	// calls is the number of calls that one admitted root request makes.
+	calls  map[classService]float64
+	trims  map[string]float64
+	shares map[Flow]float64
 }
 
 type timedReport struct {
@@ -88,13 +100,16 @@
 
 type classService struct{ class, service string }
 
-// NewPlan returns a Plan that admits everything.
-func NewPlan() *Plan {
+// NewPlan returns a Plan that admits everything. repeatShare is the number of
+// calls that may be sent again per call to a service.
+func NewPlan(repeatShare float64) *Plan {
 	return &Plan{
-		reports: make(map[string]timedReport),
-		costs:   make(map[classService]float64),
-		trims:   make(map[string]float64),
-		shares:  make(map[Flow]float64),
+		repeatShare: repeatShare,
+		calls:       make(map[classService]float64),
+		reports:     make(map[string]timedReport),
+		costs:       make(map[classService]float64),
+		trims:       make(map[string]float64),
+		shares:      make(map[Flow]float64),
 	}
 }
 
@@ -131,7 +146,10 @@
 // totals are the reports of all hosts together.
 type totals struct {
 	slots, waiting map[string]float64
-	busy           map[classService]float64
+	busy, runs     map[classService]float64
+	// handed and turned are calls per second by service: all that were handed to
+	// backend servers, and those that these refused to run.
+	handed, turned map[string]float64
 	// admitted is by class, offered by flow.
 	admitted map[string]float64
 	offered  map[Flow]float64
@@ -140,6 +158,7 @@
 func (p *Plan) total() totals {
 	t := totals{
 		slots: make(map[string]float64), waiting: make(map[string]float64),
+		handed: make(map[string]float64), turned: make(map[string]float64), runs: make(map[classService]float64),
 		busy: make(map[classService]float64), admitted: make(map[string]float64), offered: make(map[Flow]float64),
 	}
 	for _, r := range p.reports {
@@ -148,6 +167,14 @@
 		for class, busy := range r.Busy {
 			t.busy[classService{class, r.Service}] += busy
 		}
+		ran := 0.0
+		for class, runs := range r.Runs {
+			t.runs[classService{class, r.Service}] += runs
+			ran += runs
+		}
+		handed := ran / math.Max(leastRunShare, 1-r.TurnedAway)
+		t.handed[r.Service] += handed
+		t.turned[r.Service] += handed * r.TurnedAway
 		for _, d := range r.Demand {
 			t.admitted[d.Flow.Class] += d.Admitted
 			t.offered[d.Flow] += d.Offered
@@ -156,6 +183,14 @@
 	return t
 }
 
+// refusing returns the share of the calls to a service that are refused.
+func (t totals) refusing(service string) float64 {
+	if t.handed[service] == 0 {
+		return 0
+	}
+	return t.turned[service] / t.handed[service]
+}
+
 func (t totals) full(service string) bool {
 	return t.waiting[service] > fullWaiting*t.slots[service]
 }
@@ -176,6 +211,16 @@
 			p.costs[key] = known + costGain*(measured-known)
 		}
 	}
+	for key, runs := range t.runs {
+		admitted := t.admitted[key.class]
+		if admitted < leastAdmitted {
+			continue
+		}
+		measured, known := runs/admitted, p.calls[key]
+		if measured > known || !t.full(key.service) && t.refusing(key.service) < leastRefusing {
+			p.calls[key] = known + costGain*(measured-known)
+		}
+	}
 }
 
 // trim lowers the planned capacity of services that stay full in spite of the plan.
@@ -197,38 +242,65 @@
 // fill gives the slots of all services to the flows, the most important first.
 // Flows of one importance get the same share of what each service has left.
 func (p *Plan) fill(t totals) {
-	left := make(map[string]float64, len(t.slots))
-	for service, slots := range t.slots {
-		left[service] = usableShare * p.trims[service] * slots
-	}
+	left := p.resources(t)
 	p.shares = make(map[Flow]float64, len(t.offered))
 	for _, group := range groups(t.offered) {
-		needed := make(map[string]float64)
+		needed := make(map[resource]float64)
 		for _, f := range group {
-			for service := range left {
-				needed[service] += t.offered[f] * p.Cost(f.Class, service)
+			for r := range left {
+				needed[r] += t.offered[f] * p.need(t, f.Class, r)
 			}
 		}
-		taken := make(map[string]float64)
+		taken := make(map[resource]float64)
 		for _, f := range group {
-			share := p.affordable(f.Class, left, needed)
+			share := p.affordable(t, f.Class, left, needed)
 			p.shares[f] = share
-			for service := range left {
-				taken[service] += share * t.offered[f] * p.Cost(f.Class, service)
+			for r := range left {
+				taken[r] += share * t.offered[f] * p.need(t, f.Class, r)
 			}
 		}
-		for service, slots := range taken {
-			left[service] = math.Max(0, left[service]-slots)
+		for r, amount := range taken {
+			left[r] = math.Max(0, left[r]-amount)
 		}
 	}
 }
 
-// affordable returns the share of a class that the tightest of its services allows.
-func (p *Plan) affordable(class string, left, needed map[string]float64) float64 {
+// A resource is what root requests share: the slots of a service, or the calls to
+// it that may be sent again.
+type resource struct {
+	service string
+	repeats bool
+}
+
+// resources returns what there is of each resource. Repeats matter only where
+// backend servers refuse calls although they have room.
+func (p *Plan) resources(t totals) map[resource]float64 {
+	all := make(map[resource]float64, len(t.slots))
+	for service, slots := range t.slots {
+		all[resource{service: service}] = usableShare * p.trims[service] * slots
+		if t.refusing(service) >= leastRefusing {
+			all[resource{service, true}] = p.repeatShare * (t.handed[service] - t.turned[service])
+		}
+	}
+	return all
+}
+
+// need returns what one root request of a class needs of a resource. Where a
+// share of the calls is refused, each call takes so many more on average.
+func (p *Plan) need(t totals, class string, r resource) float64 {
+	if !r.repeats {
+		return p.Cost(class, r.service)
+	}
+	refusing := t.refusing(r.service)
+	return p.calls[classService{class, r.service}] * refusing / math.Max(leastRunShare, 1-refusing)
+}
+
+// affordable returns the share of a class that the tightest resource allows.
+func (p *Plan) affordable(t totals, class string, left, needed map[resource]float64) float64 {
 	share := 1.0
-	for service, slots := range left {
-		if p.Cost(class, service) >= leastRootCost && needed[service] > slots {
-			share = math.Min(share, slots/needed[service])
+	for r, amount := range left {
+		if p.need(t, class, r) >= leastRootCost && needed[r] > amount {
+			share = math.Min(share, amount/needed[r])
 		}
 	}
 	return math.Max(leastShare, share)
--- a/admission/plan_test.go
+++ b/admission/plan_test.go
@@ -72,7 +72,7 @@
 
 func TestCalmChainsAreAdmittedWhole(t *testing.T) {
 	is := is.New(t)
-	p := admission.NewPlan()
+	p := admission.NewPlan(0.1)
 	l := depotMorning(1)
 	l.play(p, time.Unix(0, 0), 40)
 	for _, class := range []string{"alert", "completion", "route-sheet", "lookup"} {
@@ -84,7 +84,7 @@
 // twice its slots for many seconds.
 func TestOverloadedChainsShedTheLeastImportantAtTheRoot(t *testing.T) {
 	is := is.New(t)
-	p := admission.NewPlan()
+	p := admission.NewPlan(0.1)
 	l := depotMorning(2.47)
 	asked := l.play(p, time.Unix(0, 0), 80)
 	is.Equal(l.share(p, "completion"), 1.0)                       // fits, so none is refused
@@ -99,7 +99,7 @@
 
 func TestSharesReturnWhenTheSurgeEnds(t *testing.T) {
 	is := is.New(t)
-	p := admission.NewPlan()
+	p := admission.NewPlan(0.1)
 	start := time.Unix(0, 0)
 	l := depotMorning(2.47)
 	l.play(p, start, 40)
@@ -110,7 +110,7 @@
 
 func TestReportsOfSilentHostsEnd(t *testing.T) {
 	is := is.New(t)
-	p := admission.NewPlan()
+	p := admission.NewPlan(0.1)
 	start := time.Unix(0, 0)
 	l := depotMorning(2.47)
 	l.play(p, start, 40)
@@ -122,7 +122,7 @@
 // a less important one that needs the same service.
 func TestImportanceOrdersShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := admission.NewPlan()
+		p := admission.NewPlan(0.1)
 		depotMorning(0.5).play(p, time.Unix(0, 0).Add(-5*time.Second), 20)
 		l := depotMorning(rapid.Float64Range(0.1, 8).Draw(t, "factor"))
 		l.slots = rapid.Float64Range(4, 200).Draw(t, "slots")
--- a/internal/process/demand/demand.go
+++ b/internal/process/demand/demand.go
@@ -36,7 +36,11 @@
 	classes map[string]*class
 	sampled time.Time
 	waiting float64
-	report  admission.HostReport
+	// turned counts the calls that the backend server refused to run since the
+	// last sample, turnedAway is their share.
+	turned     int
+	turnedAway float64
+	report     admission.HostReport
 }
 
 // A flow is what the node saw of the root requests of one class and importance.
@@ -56,12 +60,16 @@
 	area    time.Duration
 	moved   time.Time
 	busy    float64
+	// runs counts the calls that were run since the last sample.
+	runs    int
+	runRate float64
 }
 
 // New returns a Forecast that admits everything until reports say otherwise.
-func New(host string, c clock.Clock) *Forecast {
+// repeatShare is the number of calls that may be sent again per call.
+func New(host string, repeatShare float64, c clock.Clock) *Forecast {
 	return &Forecast{
-		host: host, clock: c, plan: admission.NewPlan(),
+		host: host, clock: c, plan: admission.NewPlan(repeatShare),
 		flows: make(map[admission.Flow]*flow), classes: make(map[string]*class), sampled: c.Now(),
 	}
 }
@@ -92,11 +100,20 @@
 	return true
 }
 
-// Start takes in that a call of a class runs in the backend server. The caller
-// calls the result when it has ended. It implements relay.Usage.
-func (f *Forecast) Start(name string) func() {
+// Start takes in that a call of a class is handed to the backend server. The
+// caller calls the result when it has ended. It implements relay.Usage.
+func (f *Forecast) Start(name string) func(turnedAway bool) {
 	f.move(name, 1)
-	return func() { f.move(name, -1) }
+	return func(turnedAway bool) {
+		f.move(name, -1)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if turnedAway {
+			f.turned++
+			return
+		}
+		f.class(name).runs++
+	}
 }
 
 func (f *Forecast) move(name string, by int) {
@@ -136,14 +153,24 @@
 	f.waiting += sampleGain * (float64(waiting) - f.waiting)
 	r := admission.HostReport{
 		Service: service, Slots: slots, Waiting: f.waiting,
-		Busy: make(map[string]float64),
+		Busy: make(map[string]float64), Runs: make(map[string]float64),
 	}
+	ran := 0
 	for name, c := range f.classes {
+		ran += c.runs
 		c.sample(now, elapsed)
 		if c.busy >= leastBusy {
 			r.Busy[name] = c.busy
 		}
+		if c.runRate >= leastRate {
+			r.Runs[name] = c.runRate
+		}
+	}
+	if handed := ran + f.turned; handed > 0 {
+		f.turnedAway += sampleGain * (float64(f.turned)/float64(handed) - f.turnedAway)
 	}
+	f.turned = 0
+	r.TurnedAway = f.turnedAway
 	for key, w := range f.flows {
 		w.sample(elapsed)
 		if w.offeredRate >= leastRate {
@@ -158,7 +185,8 @@
 func (c *class) sample(now time.Time, elapsed float64) {
 	c.settle(now)
 	c.busy += sampleGain * (c.area.Seconds()/elapsed - c.busy)
-	c.area = 0
+	c.runRate += sampleGain * (float64(c.runs)/elapsed - c.runRate)
+	c.area, c.runs = 0, 0
 }
 
 func (w *flow) sample(elapsed float64) {
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -15,6 +15,10 @@
 // leastDemand in requests per second is told to other hosts; less is left out.
 const leastDemand = 0.05
 
+// keptByRank is the share of an account's burst at a host that is kept from
+// routes of a rank for those above it.
+var keptByRank = [...]float64{0, 0.2, 0.45}
+
 // A Quota holds accounts to their rates. It is safe for concurrent use.
 type Quota struct {
 	clock clock.Clock
@@ -40,14 +44,29 @@
 	}
 }
 
-// Take takes one request of an account's rate. It returns when to come back if
-// there is none. It implements relay.Rates.
-func (q *Quota) Take(now time.Time, a traffic.Account) (time.Duration, bool) {
+// Take takes one request of an account's rate for a route of a rank. It returns
+// when to come back if there is none. It implements relay.Rates.
+func (q *Quota) Take(now time.Time, a traffic.Account, rank int) (time.Duration, bool) {
 	if a.Rate <= 0 {
 		return 0, true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.split(now, a).Take(now, keptByRank[min(max(0, rank), len(keptByRank)-1)])
+}
+
+// Return gives back what Take took for a request that was refused afterwards.
+func (q *Quota) Return(now time.Time, a traffic.Account) {
+	if a.Rate <= 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.split(now, a).Return(now)
+}
+
+// split returns the host's part of an account's rate; mu must be held.
+func (q *Quota) split(now time.Time, a traffic.Account) *rate.Split {
 	wanted := limit{a.Rate, a.Burst}
 	s, ok := q.splits[a.Name]
 	if !ok {
@@ -59,7 +78,7 @@
 		s.Resize(now, a.Rate, a.Burst)
 		q.limits[a.Name] = wanted
 	}
-	return s.Take(now)
+	return s
 }
 
 // Demand returns the recent requests per second by account.
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -88,7 +88,7 @@
 	n := &Node{
 		settings: s, parts: p, clock: p.Clock, log: p.Log,
 		directory: fleet.NewDirectory(), quota: quota.New(p.Clock), counters: newCounters(),
-		forecast: demand.New(s.Name, p.Clock),
+		forecast: demand.New(s.Name, repeatShare*s.Retries.Share, p.Clock),
 	}
 	n.configuration = &configuration{decode: p.Decode, log: p.Log, changed: n.tell}
 	n.record = &record{
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -54,7 +54,9 @@
 type Rates interface {
 	// Take takes one request of an account's rate. It returns when to come back
 	// if there is none.
-	Take(now time.Time, a traffic.Account) (wait time.Duration, ok bool)
+	Take(now time.Time, a traffic.Account, rank int) (wait time.Duration, ok bool)
+	// Return gives back what Take took for a request that is refused all the same.
+	Return(now time.Time, a traffic.Account)
 }
 
 // An Entry serves the requests that reach a node. It is safe for concurrent use.
@@ -165,7 +167,7 @@
 // running work were admitted with their root request. The error is a refusal.Refusal.
 func (e *Entry) admit(now time.Time, a Arrival, r traffic.Route, account traffic.Account, c call.Context, called bool) error {
 	if account.Name != "" {
-		if wait, ok := e.rates.Take(now, account); !ok {
+		if wait, ok := e.rates.Take(now, account, r.Rank); !ok {
 			return refusal.New(refusal.RateExceeded).WithRetryAfter(wait)
 		}
 	}
@@ -174,6 +176,9 @@
 	}
 	wait := c.Deadline.Sub(now)
 	if !e.plan.Admit(r.Name, int(c.Importance), e.waits.returning(r.Name, a.Patience)) {
+		if account.Name != "" {
+			e.rates.Return(now, account)
+		}
 		return refusal.New(refusal.Overloaded).WithRetryAfter(spread(wait / comeBackPart))
 	}
 	return nil
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -33,8 +33,8 @@
 // Usage measures what the backend server is busy with.
 type Usage interface {
 	// Start takes in that a call runs that belongs to a root request of a class;
-	// the result takes in its end.
-	Start(class string) func()
+	// the result takes in its end, and whether the backend server refused to run it.
+	Start(class string) func(turnedAway bool)
 }
 
 // An Executor runs orders on the backend server of its host. It is safe for
@@ -147,12 +147,13 @@
 	defer fasthttp.ReleaseResponse(response)
 	x.dialect.Prepare(request, o, left)
 	defer x.lineage.Start(o.Context)()
-	defer x.usage.Start(o.Context.Class)()
+	ended := x.usage.Start(o.Context.Class)
 	verdict := Foreign
 	err = link.Exchange(ctx, request, response, func(r *fasthttp.Response) bool {
 		verdict = x.dialect.Judge(r, o.Context.RequestID)
 		return verdict != Foreign
 	})
+	ended(verdict == NotRun)
 	if err != nil {
 		return x.broken(ctx, id, err)
 	}
--- a/internal/request/relay/sender.go
+++ b/internal/request/relay/sender.go
@@ -16,7 +16,7 @@
 const (
 	// maxNodes bounds the nodes that are asked for one request. Being turned away
 	// by a node costs no backend server anything, so it exceeds the attempts.
-	maxNodes = 4
+	maxNodes = 6
 	// noRoomRetryAfter is when to come back where no node says a time.
 	noRoomRetryAfter = 250 * time.Millisecond
 	// leastRetryTime must be left for a request to be tried again.
@@ -84,10 +84,13 @@
 
 // A progress is what is known of a request while it is tried.
 type progress struct {
-	// arrivals is the number of backend servers that may have got it.
-	arrivals int
+	// arrivals is the number of times that a backend server may have got it, runs
+	// those at which it may have run.
+	arrivals, runs int
 	// mayHaveRun says that a try without an answer may have run.
 	mayHaveRun bool
+	// turnedAway says that a backend server refused to run it.
+	turnedAway bool
 	// failed is a backend server's own answer that says it failed.
 	failed *exchange.Answer
 	last   exchange.Answer
@@ -108,6 +111,11 @@
 			break
 		}
 		target, err := s.router.Pick(o, excluded)
+		if err != nil && p.turnedAway {
+			// All hosts were tried; one that turned the request away may take it now.
+			clear(excluded)
+			target, err = s.router.Pick(o, excluded)
+		}
 		if err != nil {
 			if len(excluded) == 0 {
 				p.last = refused(err)
@@ -129,7 +137,7 @@
 // mayRepeat reports whether a request that a backend server may have got may be
 // sent to another one.
 func (s *Sender) mayRepeat(o Order, route traffic.Route, p progress) bool {
-	if p.mayHaveRun && !route.Idempotent || p.arrivals >= o.Context.Attempts {
+	if p.mayHaveRun && !route.Idempotent || p.runs >= o.Context.Attempts {
 		return false
 	}
 	left := o.Context.Deadline.Sub(s.clock.Now())
@@ -147,11 +155,15 @@
 			return true
 		}
 		p.mayHaveRun = true
+		p.runs++
 		p.failed = &a
 		return false
 	}
 	if a.Refusal.Outcome != refusal.NotRun {
 		p.mayHaveRun = true
+		p.runs++
+	} else if arrived {
+		p.turnedAway = true
 	}
 	return false
 }
--- a/rate/split.go
+++ b/rate/split.go
@@ -68,10 +68,14 @@
 // Take takes one request and reports whether the host's part allows it. If not,
 // it returns when to come back: callers refused at the same time are told to come
 // back one after the other. Demand counts either way.
-func (s *Split) Take(now time.Time) (time.Duration, bool) {
+//
+// kept is the share of the burst, from 0 to 1, that is kept for more important
+// requests of the account: while it asks for more than its rate, the tokens go to
+// what matters most to it.
+func (s *Split) Take(now time.Time, kept float64) (time.Duration, bool) {
 	s.fill(now)
 	s.count(now)
-	if s.tokens >= 1 {
+	if s.tokens >= 1+kept*(s.bound()-1) {
 		s.tokens--
 		return 0, true
 	}
@@ -84,6 +88,12 @@
 	return min(longestReturn, wait), false
 }
 
+// Return gives back the token of a request that was refused for another reason.
+func (s *Split) Return(now time.Time) {
+	s.fill(now)
+	s.tokens = math.Min(s.bound(), s.tokens+1)
+}
+
 // Demand returns the recent requests per second.
 func (s *Split) Demand(now time.Time) float64 {
 	age := now.Sub(s.counted)
