Give repeats to the most important flows, bound them by exact spans

Now a flow without repeats is tried once, unless its calls are so many that one would surely fail. retry.Window counts a span exactly, as a decaying budget forgot the requests that the span before had.

--- a/admission/plan.go
+++ b/admission/plan.go
@@ -19,6 +19,12 @@
 	leastRootCost = 0.0005
 	// leastRefusing is the share of refused calls from which repeats are planned.
 	leastRefusing = 0.05
+	// usualDecay is what each update takes from the usual rate of calls; it halves
+	// in about ten seconds, the span over which fleets bound repeats.
+	usualDecay = 0.985
+	// leastSuccess is the chance of success without repeats below which a root
+	// request is refused rather than tried without them.
+	leastSuccess = 0.2
 	// leastRunShare bounds the repeats that are expected of one call.
 	leastRunShare = 0.1
 	// costGain is the weight of a new measurement of a cost.
@@ -82,15 +88,24 @@
 // hosts, so that every host plans alike. A cost measured at a full service can
 // be too low, as some calls were refused there, so it then only rises.
 //
+// Where backend servers refuse a part of the calls although they have room, calls
+// need repeats, which are bounded for the fleet. The plan gives the repeats to the
+// most important flows; others are tried without, unless their calls are so many
+// that one of them would surely fail.
+//
 // A Plan is deterministic and holds no lock.
 type Plan struct {
 	repeatShare float64
 	reports     map[string]timedReport
 	costs       map[classService]float64
+	// usual is the highest rate of calls to a service of late, per second; repeats
+	// are bounded by it.
+	usual map[string]float64
 	// calls is the number of calls that one admitted root request makes.
-	calls  map[classService]float64
-	trims  map[string]float64
-	shares map[Flow]float64
+	calls   map[classService]float64
+	trims   map[string]float64
+	shares  map[Flow]float64
+	repeats map[Flow]float64
 }
 
 type timedReport struct {
@@ -106,10 +121,12 @@
 	return &Plan{
 		repeatShare: repeatShare,
 		calls:       make(map[classService]float64),
+		usual:       make(map[string]float64),
 		reports:     make(map[string]timedReport),
 		costs:       make(map[classService]float64),
 		trims:       make(map[string]float64),
 		shares:      make(map[Flow]float64),
+		repeats:     make(map[Flow]float64),
 	}
 }
 
@@ -126,6 +143,15 @@
 	return 1
 }
 
+// Repeats returns the share of the admitted root requests of a flow whose calls
+// may be sent again.
+func (p *Plan) Repeats(f Flow) float64 {
+	if share, ok := p.repeats[f]; ok {
+		return share
+	}
+	return 1
+}
+
 // Cost returns the slot time in seconds that a root request of a class uses at
 // a service.
 func (p *Plan) Cost(class, service string) float64 { return p.costs[classService{class, service}] }
@@ -211,6 +237,9 @@
 			p.costs[key] = known + costGain*(measured-known)
 		}
 	}
+	for service, handed := range t.handed {
+		p.usual[service] = math.Max(handed-t.turned[service], usualDecay*p.usual[service])
+	}
 	for key, runs := range t.runs {
 		admitted := t.admitted[key.class]
 		if admitted < leastAdmitted {
@@ -244,6 +273,7 @@
 func (p *Plan) fill(t totals) {
 	left := p.resources(t)
 	p.shares = make(map[Flow]float64, len(t.offered))
+	p.repeats = make(map[Flow]float64, len(t.offered))
 	for _, group := range groups(t.offered) {
 		needed := make(map[resource]float64)
 		for _, f := range group {
@@ -253,9 +283,18 @@
 		}
 		taken := make(map[resource]float64)
 		for _, f := range group {
-			share := p.affordable(t, f.Class, left, needed)
-			p.shares[f] = share
+			slots := p.affordable(t, f.Class, left, needed, false)
+			repeated := math.Min(slots, p.affordable(t, f.Class, left, needed, true))
+			p.repeats[f] = repeated / slots
+			p.shares[f] = slots
+			if p.unrepeated(t, f.Class) < leastSuccess {
+				p.shares[f], p.repeats[f] = math.Max(leastShare, repeated), 1
+			}
 			for r := range left {
+				share := p.shares[f]
+				if r.repeats {
+					share = repeated
+				}
 				taken[r] += share * t.offered[f] * p.need(t, f.Class, r)
 			}
 		}
@@ -279,7 +318,7 @@
 	for service, slots := range t.slots {
 		all[resource{service: service}] = usableShare * p.trims[service] * slots
 		if t.refusing(service) >= leastRefusing {
-			all[resource{service, true}] = p.repeatShare * (t.handed[service] - t.turned[service])
+			all[resource{service, true}] = p.repeatShare * p.usual[service]
 		}
 	}
 	return all
@@ -295,14 +334,33 @@
 	return p.calls[classService{class, r.service}] * refusing / math.Max(leastRunShare, 1-refusing)
 }
 
-// affordable returns the share of a class that the tightest resource allows.
-func (p *Plan) affordable(t totals, class string, left, needed map[resource]float64) float64 {
+// unrepeated returns the chance that a root request of a class succeeds if none of
+// its calls is sent again.
+func (p *Plan) unrepeated(t totals, class string) float64 {
+	chance := 1.0
+	for service := range t.slots {
+		if refusing := t.refusing(service); refusing >= leastRefusing {
+			chance *= math.Pow(1-refusing, p.calls[classService{class, service}])
+		}
+	}
+	return chance
+}
+
+// affordable returns the share of a class that the tightest resource allows, of
+// slots or of repeats.
+func (p *Plan) affordable(t totals, class string, left, needed map[resource]float64, repeats bool) float64 {
 	share := 1.0
 	for r, amount := range left {
+		if r.repeats != repeats {
+			continue
+		}
 		if p.need(t, class, r) >= leastRootCost && needed[r] > amount {
 			share = math.Min(share, amount/needed[r])
 		}
 	}
+	if repeats {
+		return share
+	}
 	return math.Max(leastShare, share)
 }
 
--- a/admission/plan_test.go
+++ b/admission/plan_test.go
@@ -133,3 +133,45 @@
 		}
 	})
 }
+
+// The pattern: the backend servers of the small service refuse more than half of
+// the calls although they have room, while requests of other services go on.
+func TestRefusingServiceKeepsCheapRequestsAndRepeatsForTheImportant(t *testing.T) {
+	is := is.New(t)
+	p := admission.NewPlan(0.1)
+	start := time.Unix(0, 0)
+	l := depotMorning(1)
+	for i := range 60 {
+		now := start.Add(time.Duration(i) * 250 * time.Millisecond)
+		refusing := 0.0
+		if i >= 20 {
+			refusing = 0.55
+		}
+		l.refuse(now, p, refusing)
+	}
+	is.Equal(l.share(p, "alert"), 1.0)                                // one call: tried once at least
+	is.Equal(l.share(p, "lookup"), 1.0)                               // doesn't touch the service
+	is.True(l.share(p, "route-sheet") < 0.05)                         // one of its calls would fail
+	is.True(l.share(p, "completion") > l.share(p, "route-sheet"))     // gets the repeats
+	is.True(l.share(p, "completion") < 0.5)                           // of which there are few
+	is.Equal(p.Repeats(l.flow("completion")), 1.0)                    // those admitted may repeat
+	is.True(p.Repeats(l.flow("alert")) < p.Repeats(l.flow("lookup"))) // what matters less does without
+}
+
+// refuse plays one interval in which the small service refuses a share of the calls.
+func (l chainLoad) refuse(now time.Time, p *admission.Plan, refusing float64) {
+	calls := map[string]float64{"alert": 1, "completion": 8, "route-sheet": 8}
+	r := admission.HostReport{
+		Service: "small", Slots: l.slots, TurnedAway: refusing,
+		Busy: make(map[string]float64), Runs: make(map[string]float64),
+	}
+	for class, offered := range l.offered {
+		admitted := offered * l.share(p, class)
+		r.Demand = append(r.Demand, admission.FlowDemand{Flow: l.flow(class), Offered: offered, Admitted: admitted})
+		done := admitted * math.Pow(1-refusing, calls[class])
+		r.Busy[class] = done * l.cost[class]
+		r.Runs[class] = done * calls[class]
+	}
+	p.Report(now, "small", r)
+	p.Update(now)
+}
--- a/internal/process/demand/demand.go
+++ b/internal/process/demand/demand.go
@@ -49,7 +49,8 @@
 	offeredRate       float64
 	admittedRate      float64
 	// credit is what the share of the flow leaves over; a request costs 1.
-	credit float64
+	// repeatCredit is the same for requests whose calls may be sent again.
+	credit, repeatCredit float64
 }
 
 // A class is what the backend server does for one class of root requests.
@@ -74,9 +75,10 @@
 	}
 }
 
-// Admit takes in a root request and reports whether it is admitted. Requests that
-// return after a refusal go before new ones. It implements relay.Plan.
-func (f *Forecast) Admit(name string, importance int, returning bool) bool {
+// Admit takes in a root request and reports whether it is admitted, and whether
+// its calls may be sent again. Requests that return after a refusal go before new
+// ones. It implements relay.Plan.
+func (f *Forecast) Admit(name string, importance int, returning bool) (admitted, repeatable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := admission.Flow{Class: name, Importance: importance}
@@ -93,11 +95,16 @@
 		needed = 1 - returnCredit
 	}
 	if share < 1 && w.credit < needed {
-		return false
+		return false, false
 	}
 	w.credit = max(-returnCredit, w.credit-1)
 	w.admitted++
-	return true
+	w.repeatCredit = min(1, w.repeatCredit+f.plan.Repeats(key))
+	if w.repeatCredit < 1 {
+		return true, false
+	}
+	w.repeatCredit--
+	return true, true
 }
 
 // Start takes in that a call of a class is handed to the backend server. The
--- a/internal/process/sidecar/budget.go
+++ b/internal/process/sidecar/budget.go
@@ -10,11 +10,8 @@
 const (
 	// repeatShare is the part of the fleet's repeats that nodes use. The rest is
 	// left for calls that a repeated request makes anew, which count as repeats
-	// where they arrive, and for what one window counts of its neighbours.
-	repeatShare = 0.4
-	// halfLives of a budget fit into the fleet's window, so that little is saved
-	// up for a burst.
-	halfLives = 4
+	// where they arrive, and for nodes whose spans don't begin together.
+	repeatShare = 0.6
 	// reserveShare is the part of the fleet's reserve that all nodes may use
 	// together.
 	reserveShare = 0.5
@@ -29,18 +26,18 @@
 
 	// mu guards services.
 	mu       sync.Mutex
-	services map[string]*retry.Budget
+	services map[string]*retry.Window
 }
 
 func newBudget(r Retries, hosts func() int, c clock.Clock) *budget {
-	return &budget{limits: r, hosts: hosts, clock: c, services: make(map[string]*retry.Budget)}
+	return &budget{limits: r, hosts: hosts, clock: c, services: make(map[string]*retry.Window)}
 }
 
 // Allow reports whether one more request is within the budget.
 func (b *budget) Allow(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.service(service).Retry(b.clock.Now())
+	return b.service(service).Repeat(b.clock.Now(), 0)
 }
 
 // Sent counts the first sending of a request. One that is inherited from a request
@@ -48,23 +45,20 @@
 func (b *budget) Sent(service string, inherited bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.service(service).Succeeded(b.clock.Now())
+	w := b.service(service)
+	w.Sent(b.clock.Now())
 	if inherited {
-		b.service(service).Charge(b.clock.Now())
+		w.Charge(b.clock.Now())
 	}
 }
 
 // service returns the budget of a service; mu must be held.
-func (b *budget) service(name string) *retry.Budget {
-	s, ok := b.services[name]
+func (b *budget) service(name string) *retry.Window {
+	w, ok := b.services[name]
 	if !ok {
 		reserve := reserveShare * float64(b.limits.Reserve) / float64(max(1, b.hosts()))
-		s = retry.NewBudget(
-			retry.WithShare(repeatShare*b.limits.Share),
-			retry.WithReserve(reserve),
-			retry.WithHalfLife(b.limits.Window/halfLives),
-		)
-		b.services[name] = s
+		w = retry.NewWindow(b.limits.Window, repeatShare*b.limits.Share, reserve)
+		b.services[name] = w
 	}
-	return s
+	return w
 }
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -43,6 +43,9 @@
 	Content uint64 `cbor:"13,keyasint,omitempty"`
 	// Repeat says that this call, or one above it, was sent before.
 	Repeat bool `cbor:"14,keyasint,omitempty"`
+	// Single says that this call and those below it are not sent again, because
+	// repeats are scarce and kept for what matters more.
+	Single bool `cbor:"15,keyasint,omitempty"`
 	// Deadline is when the caller stops waiting, by the local clock.
 	Deadline time.Time `cbor:"-"`
 }
@@ -81,6 +84,12 @@
 	return c
 }
 
+// WithSingle returns the context of a call that is not sent again.
+func (c Context) WithSingle(single bool) Context {
+	c.Single = single
+	return c
+}
+
 // WithContent returns the context with the hash of the work it asks for.
 func (c Context) WithContent(hash uint64) Context {
 	c.Content = hash
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -45,9 +45,9 @@
 // A Plan admits root requests so that no service along their calls is asked for
 // more than it can do.
 type Plan interface {
-	// Admit reports whether a request of a route is admitted; returning says that
-	// it was refused before.
-	Admit(route string, importance int, returning bool) bool
+	// Admit reports whether a request of a route is admitted, and whether its calls
+	// may be sent again; returning says that it was refused before.
+	Admit(route string, importance int, returning bool) (admitted, repeatable bool)
 }
 
 // Rates hold client accounts to their rates.
@@ -147,7 +147,8 @@
 	if called {
 		c = inherit(c, parent)
 	}
-	if err := e.admit(now, a, route, account, c, called || route.Open); err != nil {
+	c, err = e.admit(now, a, route, account, c, called || route.Open)
+	if err != nil {
 		return Order{}, route, err
 	}
 	o := Order{
@@ -164,24 +165,26 @@
 }
 
 // admit holds a root request to its account's rate and to the plan. Calls of
-// running work were admitted with their root request. The error is a refusal.Refusal.
-func (e *Entry) admit(now time.Time, a Arrival, r traffic.Route, account traffic.Account, c call.Context, called bool) error {
+// running work were admitted with their root request. It returns the context of
+// the admitted request; the error is a refusal.Refusal.
+func (e *Entry) admit(now time.Time, a Arrival, r traffic.Route, account traffic.Account, c call.Context, called bool) (call.Context, error) {
 	if account.Name != "" {
 		if wait, ok := e.rates.Take(now, account, r.Rank); !ok {
-			return refusal.New(refusal.RateExceeded).WithRetryAfter(wait)
+			return c, refusal.New(refusal.RateExceeded).WithRetryAfter(wait)
 		}
 	}
 	if called {
-		return nil
+		return c, nil
 	}
 	wait := c.Deadline.Sub(now)
-	if !e.plan.Admit(r.Name, int(c.Importance), e.waits.returning(r.Name, a.Patience)) {
+	admitted, repeatable := e.plan.Admit(r.Name, int(c.Importance), e.waits.returning(r.Name, a.Patience))
+	if !admitted {
 		if account.Name != "" {
 			e.rates.Return(now, account)
 		}
-		return refusal.New(refusal.Overloaded).WithRetryAfter(spread(wait / comeBackPart))
+		return c, refusal.New(refusal.Overloaded).WithRetryAfter(spread(wait / comeBackPart))
 	}
-	return nil
+	return c.WithSingle(!repeatable), nil
 }
 
 // spread returns between three and five quarters of a time, so that callers who
@@ -242,6 +245,7 @@
 	c.Importance = parent.Importance
 	c.Depth = parent.Depth + 1
 	c.Repeat = parent.Repeat
+	c.Single = parent.Single
 	if parent.Deadline.Before(c.Deadline) {
 		c.Deadline = parent.Deadline
 	}
--- a/internal/request/relay/sender.go
+++ b/internal/request/relay/sender.go
@@ -137,7 +137,7 @@
 // mayRepeat reports whether a request that a backend server may have got may be
 // sent to another one.
 func (s *Sender) mayRepeat(o Order, route traffic.Route, p progress) bool {
-	if p.mayHaveRun && !route.Idempotent || p.runs >= o.Context.Attempts {
+	if p.mayHaveRun && !route.Idempotent || p.runs >= o.Context.Attempts || o.Context.Single {
 		return false
 	}
 	left := o.Context.Deadline.Sub(s.clock.Now())
