Copy the load report by field in the decision trials

admission.Load has one field more than routing.Report since the plan needs the length of the queue, so the conversion no longer compiles. The copied fields are the same as before.

--- a/trial/decisions/policy.go
+++ b/trial/decisions/policy.go
@@ -138,7 +138,10 @@
 			own = own.Merge(res.pressure)
 		}
 		res.pressure, res.pressed = own, true
-		res.report, res.reported = routing.Report(load), true
+		res.report, res.reported = routing.Report{
+			AdmittedImportance: load.AdmittedImportance, QueueDelay: load.QueueDelay,
+			Running: load.Running, FreeSlots: load.FreeSlots,
+		}, true
 		reply(res)
 	}
 	h.admitted[id] = admitted{
