--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -217,6 +217,19 @@
 	return c.writer.Flush()
 }
 
+// retire ends the connection unless a request is being served on it.
+func (c *connection) retire() {
+	c.mu.Lock()
+	idle := c.unanswered == 0 && !c.lastWritten
+	if idle {
+		c.lastWritten = true
+	}
+	c.mu.Unlock()
+	if idle {
+		c.linger()
+	}
+}
+
 // linger ends the writing side and lets the reader go on for a moment.
 func (c *connection) linger() {
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
--- a/internal/connection/ingress/ingress.go
+++ b/internal/connection/ingress/ingress.go
@@ -79,6 +79,18 @@
 // Drain makes each further answer the last of its connection.
 func (s *Server) Drain() { s.closing.Store(true) }
 
+// Retire takes no new connections and closes those without a request. A request
+// that crosses such a close has not been read.
+func (s *Server) Retire() {
+	s.closing.Store(true)
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.retire()
+	}
+}
+
 // Close takes no new connections and closes the open ones. Callers wait for
 // Active to be 0 first if no request is to be cut.
 func (s *Server) Close() {
--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -43,8 +43,13 @@
 // is nearly over.
 func (n *Node) finish(start time.Time) {
 	quietSince := n.clock.Now()
+	retired := false
 	for {
 		now := n.clock.Now()
+		if !retired && now.Sub(start) >= moveTime {
+			n.callers.Retire()
+			retired = true
+		}
 		running := n.callers.Active() + n.admission.Load().Running
 		if running > 0 {
 			quietSince = now
