Let a backend server's leaving outlive its node, start rates carefully

The record now tells the next process through the store or other nodes; a first announcement that says draining counts as begun before. It now takes a sixteenth until it knows the fleet, and begins empty unless the deployment is new.

--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -55,6 +55,11 @@
 	Demand() map[string]float64
 	// Heard takes in the demand at another host.
 	Heard(host string, demand map[string]float64)
+	// Greeted takes in that another node has told all hosts that it knows.
+	Greeted()
+	// Mentioned takes in a record of this host that another one holds, which may
+	// be of an earlier process.
+	Mentioned(h fleet.Host)
 	// Report returns what root requests ask of this host.
 	Report() admission.HostReport
 	// Reported takes in the report of another host.
@@ -390,8 +395,15 @@
 // learn merges the records of a notice.
 func (m *Mesh) learn(n Notice) {
 	own := m.own().Name
+	if len(n.Known) > 0 {
+		defer m.sheet.Greeted()
+	}
 	for _, h := range append(n.Known, n.Host) {
-		if h.Name != own && m.directory.Merge(h) {
+		if h.Name == own {
+			m.sheet.Mentioned(h)
+			continue
+		}
+		if m.directory.Merge(h) {
 			m.log.Emit(event.HostChanged, log.Fields{
 				"peer": h.Name, "backend-server": h.Backend.ID, "state": h.Backend.State, "leaving": h.Leaving,
 				"incarnation": h.Incarnation, "revision": h.Revision, "from": n.Host.Name,
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -19,6 +19,10 @@
 // it several times a second.
 const heardFor = 1500 * time.Millisecond
 
+// unknownHosts is the size that a fleet is taken to have before it is known, so
+// that a node which starts cut off takes no more than a small part of a rate.
+const unknownHosts = 16
+
 // keptByRank is the share of an account's burst at a host that is kept from
 // routes of a rank for those above it.
 var keptByRank = [...]float64{0, 0.2, 0.45}
@@ -28,7 +32,9 @@
 	clock clock.Clock
 
 	// mu guards all below.
-	mu     sync.Mutex
+	mu sync.Mutex
+	// fresh says that no earlier process of the host has used tokens.
+	fresh  bool
 	hosts  int
 	splits map[string]*rate.Split
 	limits map[string]limit
@@ -44,10 +50,11 @@
 
 type limit struct{ rate, burst float64 }
 
-// New returns a Quota for a fleet of unknown size.
-func New(c clock.Clock) *Quota {
+// New returns a Quota for a fleet of unknown size. fresh says that no earlier
+// process of the host has used tokens.
+func New(fresh bool, c clock.Clock) *Quota {
 	return &Quota{
-		clock: c, hosts: 1,
+		clock: c, fresh: fresh, hosts: unknownHosts,
 		splits: make(map[string]*rate.Split),
 		limits: make(map[string]limit),
 		demand: make(map[string]report),
@@ -81,6 +88,9 @@
 	s, ok := q.splits[a.Name]
 	if !ok {
 		s = rate.NewSplit(now, a.Rate, a.Burst, q.hosts)
+		if !q.fresh {
+			s.Empty()
+		}
 		q.splits[a.Name] = s
 		q.limits[a.Name] = wanted
 	}
--- a/internal/process/sidecar/budget.go
+++ b/internal/process/sidecar/budget.go
@@ -11,7 +11,7 @@
 	// repeatShare is the part of the fleet's repeats that nodes use. The rest is
 	// left for calls that a repeated request makes anew, which count as repeats
 	// where they arrive, and for nodes whose spans don't begin together.
-	repeatShare = 0.6
+	repeatShare = 0.45
 	// reserveShare is the part of the fleet's reserve that all nodes may use
 	// together.
 	reserveShare = 0.5
--- a/internal/process/sidecar/hosts.go
+++ b/internal/process/sidecar/hosts.go
@@ -72,8 +72,10 @@
 func (r *record) remove(ctx context.Context) {
 	r.mu.Lock()
 	name, version := r.host.Name, r.version
+	// The next process of the host must know that its backend server leaves.
+	keeps := r.host.Backend.State == fleet.Draining
 	r.mu.Unlock()
-	if version == 0 {
+	if version == 0 || keeps {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
@@ -135,6 +137,20 @@
 	return err
 }
 
+// recall takes in a record of this host that may be of an earlier process.
+func (n *Node) recall(h fleet.Host) {
+	if h.Incarnation != n.record.Host().Incarnation {
+		n.station.Remember(h.Backend)
+	}
+	n.record.outrank(h)
+}
+
+// takeFleet takes in the whole table of hosts.
+func (n *Node) takeFleet(rows []Row) {
+	n.takeHosts(rows)
+	n.fleetKnown.Store(true)
+}
+
 // takeHosts takes in rows of the table of hosts.
 func (n *Node) takeHosts(rows []Row) {
 	own := n.settings.Name
@@ -151,7 +167,7 @@
 			continue
 		}
 		if h.Name == own {
-			n.record.outrank(h)
+			n.recall(h)
 			continue
 		}
 		if n.directory.Merge(h) {
--- a/internal/process/sidecar/settings.go
+++ b/internal/process/sidecar/settings.go
@@ -30,6 +30,8 @@
 	Grace time.Duration
 	// Retries bounds the requests that are sent to a further backend server.
 	Retries Retries
+	// FirstStart says that the whole deployment starts for the first time.
+	FirstStart bool
 	// MemoryMB bounds the memory of the process, in MiB.
 	MemoryMB int
 }
@@ -73,7 +75,8 @@
 			Reserve: r.section("retries").Integer("reserve", 50, 0, 1_000_000),
 			Window:  r.section("retries").Duration("window", 10*time.Second, time.Millisecond, longestTime),
 		},
-		MemoryMB: r.section("limits").Integer("memory-mb", 256, 16, 1<<20),
+		FirstStart: r.section("host").Flag("first-start", false),
+		MemoryMB:   r.section("limits").Integer("memory-mb", 256, 16, 1<<20),
 	}
 	if err := d.Err(); err != nil {
 		return Settings{}, err
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -79,6 +79,8 @@
 	announcements *ingress.Server
 	metrics       *ingress.Server
 	leaving       atomic.Bool
+	// fleetKnown says that the store or another node has told the hosts.
+	fleetKnown atomic.Bool
 	// grace is the settings' grace time in nanoseconds; a reload may change it.
 	grace  atomic.Int64
 	cancel context.CancelFunc
@@ -89,7 +91,7 @@
 func Start(s Settings, p Parts) (*Node, error) {
 	n := &Node{
 		settings: s, parts: p, clock: p.Clock, log: p.Log,
-		directory: fleet.NewDirectory(), quota: quota.New(p.Clock), counters: newCounters(),
+		directory: fleet.NewDirectory(), quota: quota.New(s.FirstStart, p.Clock), counters: newCounters(),
 		forecast: demand.New(s.Name, repeatShare*s.Retries.Share, p.Clock),
 	}
 	n.grace.Store(int64(s.Grace))
@@ -164,7 +166,7 @@
 // run starts the node's background tasks.
 func (n *Node) run(ctx context.Context) {
 	hosts := &follower{
-		store: n.parts.Store, table: hostsTable, log: n.log, whole: n.takeHosts, changed: n.takeHosts,
+		store: n.parts.Store, table: hostsTable, log: n.log, whole: n.takeFleet, changed: n.takeHosts,
 		lost: &dependency{name: "hosts", log: n.log},
 	}
 	configurations := &follower{
@@ -200,13 +202,7 @@
 		case <-ticker.C:
 		}
 		n.station.Check()
-		hosts := make(map[string]bool)
-		for _, h := range n.directory.Hosts() {
-			if !h.Leaving && h.Name != n.settings.Name {
-				hosts[h.Name] = true
-			}
-		}
-		n.quota.Split(hosts)
+		n.splitRates()
 		if now := n.clock.Now(); now.Sub(sampled) >= sampleInterval {
 			sampled = now
 			n.sample()
@@ -214,6 +210,20 @@
 	}
 }
 
+// splitRates shares the rates anew once the fleet is known.
+func (n *Node) splitRates() {
+	if !n.fleetKnown.Load() {
+		return
+	}
+	others := make(map[string]bool)
+	for _, h := range n.directory.Hosts() {
+		if !h.Leaving && h.Name != n.settings.Name {
+			others[h.Name] = true
+		}
+	}
+	n.quota.Split(others)
+}
+
 // sample measures what the backend server is busy with. It has no slots while
 // it takes no work.
 func (n *Node) sample() {
@@ -276,6 +286,12 @@
 // Demand returns the recent requests per second by client account.
 func (s sheet) Demand() map[string]float64 { return s.node.quota.Demand() }
 
+// Greeted takes in that another node has told all hosts.
+func (s sheet) Greeted() { s.node.fleetKnown.Store(true) }
+
+// Mentioned takes in a record of this host that another one holds.
+func (s sheet) Mentioned(h fleet.Host) { s.node.recall(h) }
+
 // Report returns what root requests ask of this host.
 func (s sheet) Report() admission.HostReport { return s.node.forecast.Report() }
 
--- a/internal/process/station/station.go
+++ b/internal/process/station/station.go
@@ -84,6 +84,9 @@
 	// leftAt is when it said that it leaves.
 	leftAt      time.Time
 	unreachable int
+	// left is what an earlier process of the node said of a backend server that
+	// was leaving.
+	left fleet.Backend
 }
 
 // New returns a Station without a backend server. changed is called without a
@@ -135,6 +138,32 @@
 	return nil
 }
 
+// Remember takes in what an earlier process of the node had published. A backend
+// server that it had let go is not taken back.
+func (s *Station) Remember(b fleet.Backend) {
+	if b.State != fleet.Draining || b.ID == "" {
+		return
+	}
+	s.mu.Lock()
+	s.left = b
+	leaves := s.backend.ID == b.ID && s.backend.Born == b.Born && s.leftAt.IsZero()
+	if leaves {
+		s.leaveBefore()
+	}
+	s.mu.Unlock()
+	if leaves {
+		s.log.Emit(event.BackendLeft, log.Fields{"backend-server": b.ID, "known": true, "why": "an earlier process said so"})
+		s.changed()
+	}
+}
+
+// leaveBefore notes that the backend server began to leave in the time of an
+// earlier process, so that its drain time may be over; mu must be held.
+func (s *Station) leaveBefore() {
+	s.backend.State = fleet.Draining
+	s.leftAt = s.clock.Now().Add(-s.settings.Drain)
+}
+
 // stale reports whether an announcement is older than what is known; mu must be
 // held. A restart under the same id is known by its time of start.
 func (s *Station) stale(a Announcement) bool {
@@ -146,6 +175,7 @@
 
 // accept takes in a newer announcement; mu must be held.
 func (s *Station) accept(now time.Time, a Announcement) {
+	first := s.backend.ID == ""
 	if a.ID != s.backend.ID || a.Born != s.backend.Born {
 		s.link.Close()
 		s.link = backend.NewLink(s.settings.Address, s.settings.Connections, s.clock)
@@ -160,7 +190,12 @@
 		s.backend.WarmAt = now.Add(a.ColdLeft).UnixMilli()
 	}
 	s.backend.State = fleet.Serving
-	if a.Draining || !s.leftAt.IsZero() {
+	switch {
+	case !s.leftAt.IsZero():
+		s.backend.State = fleet.Draining
+	case first && a.Draining, a.ID == s.left.ID && a.Born == s.left.Born:
+		s.leaveBefore()
+	case a.Draining:
 		s.leave(now)
 	}
 }
--- a/internal/process/station/station_test.go
+++ b/internal/process/station/station_test.go
@@ -119,6 +119,35 @@
 	}
 }
 
+// The pattern: the node starts again while its backend server is leaving.
+func TestLeavingOutlivesTheProcess(t *testing.T) {
+	is := is.New(t)
+	draining := announcement("i-1", 100, 7)
+	draining.Draining = true
+	s, c, _ := newStation()
+	is.NoErr(s.Announce(draining)) // the first that this process hears
+	_, _, err := s.Ready(c.Now(), "rounds")
+	is.True(err != nil) // nobody knows when it began to leave
+
+	before := fleet.Backend{ID: "i-1", Service: "rounds", Born: 100, State: fleet.Draining}
+	s, c, _ = newStation()
+	s.Remember(before)
+	is.NoErr(s.Announce(announcement("i-1", 100, 7)))
+	_, _, err = s.Ready(c.Now(), "rounds")
+	is.True(err != nil)
+
+	s, c, changes := newStation()
+	is.NoErr(s.Announce(announcement("i-1", 100, 7)))
+	s.Remember(before) // learned later
+	_, _, err = s.Ready(c.Now(), "rounds")
+	is.True(err != nil)
+	is.Equal(*changes, 2)
+
+	is.NoErr(s.Announce(announcement("i-1", 200, 1)))
+	_, _, err = s.Ready(c.Now(), "rounds")
+	is.NoErr(err) // another start of the backend server
+}
+
 func TestUnreachableOrSilentBackendServerIsDownUntilItAnnouncesItself(t *testing.T) {
 	is := is.New(t)
 	s, c, _ := newStation()
--- a/rate/split.go
+++ b/rate/split.go
@@ -46,6 +46,10 @@
 	return s
 }
 
+// Empty takes all tokens out: those of an earlier process of the host may have
+// been used just now.
+func (s *Split) Empty() { s.tokens = 0 }
+
 // Resize takes in another rate and burst.
 func (s *Split) Resize(now time.Time, rate, burst float64) {
 	s.fill(now)
