--- a/internal/connection/backend/link.go
+++ b/internal/connection/backend/link.go
@@ -128,7 +128,7 @@
 		// The answer came before the body was sent whole. The rest must not be
 		// followed by another request, and the writer still holds the request.
 		conn.Close()
-		<-written
+		_ = <-written // It failed because the connection was closed, if at all.
 		reusable = false
 	}
 	return reusable, err
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -22,10 +22,10 @@
 	// topImportance is that of rank 0; each further rank is rankStep less. Among
 	// requests of one rank by their accounts, the routes' ranks decide.
 	topImportance class.Importance = 100
-	rankStep                       = 10
+	rankStep      int              = 10
 	// callImportance is that of calls made by running work: they go before new
 	// work, because work was already spent on the request that makes them.
-	callImportance = topImportance + 1
+	callImportance class.Importance = topImportance + 1
 	// startRetryAfter is when to come back to a node that is starting.
 	startRetryAfter = 200 * time.Millisecond
 	// comeBackPart of a refused request's time passes before it comes back, which
