--- /dev/null
+++ b/internal/process/demand/demand_test.go
@@ -0,0 +1,88 @@
+package demand_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/clock"
+	"github.com/bilberryvane/bilberryvane/internal/process/demand"
+)
+
+const interval = 200 * time.Millisecond
+
+// overload lets so many requests of a class arrive in each interval; each
+// admitted one holds a slot for the whole interval. It returns how many of the
+// last interval were admitted.
+func overload(f *demand.Forecast, c *clock.Fake, arrivals, intervals int, returning bool) int {
+	admitted := 0
+	for range intervals {
+		admitted = 0
+		var ends []func(bool)
+		for range arrivals {
+			if ok, _ := f.Admit("sheet", 5, returning); ok {
+				admitted++
+				if len(ends) < 10 {
+					ends = append(ends, f.Start("sheet"))
+				}
+			}
+		}
+		c.Advance(interval)
+		f.Sample("rounds", 10, max(0, admitted-10))
+		for _, end := range ends {
+			end(false)
+		}
+	}
+	return admitted
+}
+
+// The pattern: callers ask for four times the slots of the only backend server.
+func TestForecastAdmitsWhatFits(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewFake(time.Unix(1_700_000_000, 0))
+	f := demand.New("rounds-1", 0.1, c)
+	is.Equal(overload(f, c, 5, 20, false), 5) // half of the slots
+	got := overload(f, c, 40, 40, false)
+	is.True(got >= 4 && got <= 12) // ten fit
+	overload(f, c, 5, 10, false)
+	is.Equal(overload(f, c, 5, 1, false), 5) // the surge is over
+}
+
+func TestReturningRequestsGoFirst(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewFake(time.Unix(1_700_000_000, 0))
+	f := demand.New("rounds-1", 0.1, c)
+	overload(f, c, 40, 40, false)
+	for range 40 {
+		if ok, _ := f.Admit("sheet", 5, false); !ok {
+			break
+		}
+	}
+	ok, _ := f.Admit("sheet", 5, false)
+	is.True(!ok)
+	ok, _ = f.Admit("sheet", 5, true)
+	is.True(ok) // it was refused before
+}
+
+func TestReportTellsDemandAndUse(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewFake(time.Unix(1_700_000_000, 0))
+	f := demand.New("rounds-1", 0.1, c)
+	f.Admit("sheet", 5, false)
+	end := f.Start("sheet")
+	c.Advance(interval / 2)
+	end(false)
+	f.Start("sheet")(true)
+	c.Advance(interval / 2)
+	f.Sample("rounds", 10, 4)
+	r := f.Report()
+	is.Equal(r.Service, "rounds")
+	is.Equal(r.Slots, 10.0)
+	is.Equal(r.Busy["sheet"], 0.25)    // half a slot, weighed by half
+	is.Equal(r.Runs["sheet"], 2.5)     // five a second, weighed by half
+	is.Equal(r.TurnedAway, 0.25)       // one of two, weighed by half
+	is.Equal(r.Waiting, 2.0)           // weighed by half
+	is.Equal(len(r.Demand), 1)         // one flow
+	is.Equal(r.Demand[0].Offered, 2.5) // five a second, weighed by half
+}
--- /dev/null
+++ b/internal/process/fleet/fleet_test.go
@@ -0,0 +1,78 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
+)
+
+func host(name string, incarnation, revision int64, state fleet.State) fleet.Host {
+	return fleet.Host{
+		Name: name, Address: "10.0.0.1:1", Incarnation: incarnation, Revision: revision,
+		Backend: fleet.Backend{ID: "i-" + name, Service: "rounds", State: state},
+	}
+}
+
+// Records may come in any order and more than once.
+func TestDirectoryEndsWithTheNewestRecord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []fleet.Host
+		for incarnation := range int64(3) {
+			for revision := range int64(4) {
+				records = append(records, host("a", incarnation, revision, fleet.Serving))
+			}
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		records = append(records, records...)
+		random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+		d := fleet.NewDirectory()
+		for _, r := range records {
+			d.Merge(r)
+		}
+		got, ok := d.Host("a")
+		if !ok || got.Incarnation != 2 || got.Revision != 3 {
+			t.Fatalf("got %+v", got)
+		}
+	})
+}
+
+func TestOnlyServingHostsTakeWork(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Merge(host("serving", 1, 1, fleet.Serving))
+	d.Merge(host("draining", 1, 1, fleet.Draining))
+	d.Merge(host("down", 1, 1, fleet.Down))
+	d.Merge(host("odd", 1, 1, "resting"))
+	leaving := host("leaving", 1, 1, fleet.Serving)
+	leaving.Leaving = true
+	d.Merge(leaving)
+	empty := host("empty", 1, 1, fleet.Serving)
+	empty.Backend.ID = ""
+	d.Merge(empty)
+	is.Equal(len(d.Hosts()), 6)
+	is.Equal(len(d.Serving("rounds")), 1)
+	is.Equal(len(d.Serving("ledger")), 0)
+}
+
+func TestRecordsThatNameNobodyAreDropped(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	is.True(!d.Merge(fleet.Host{}))
+	is.True(!d.Merge(fleet.Host{Name: "a"}))
+	is.Equal(d.Changes(), uint64(0))
+}
+
+func TestRemoveLeavesNewerRecords(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	old, present := host("a", 1, 1, fleet.Serving), host("a", 2, 1, fleet.Serving)
+	d.Merge(present)
+	d.Remove(old)
+	is.Equal(len(d.Hosts()), 1)
+	d.Remove(present)
+	is.Equal(len(d.Hosts()), 0)
+}
