--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 )
 
 // ProtocolVersion is the version of the messages between nodes. A node refuses
@@ -48,23 +50,6 @@
 	Body    []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// Decoder decodes messages of other nodes with bounded nesting and sizes.
-var Decoder = newDecoder()
-
-func newDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxNestedLevels:  16,
-		MaxArrayElements: 1 << 17,
-		MaxMapPairs:      1 << 16,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // lengthBytes is the size of the length that stands before each envelope. With
 // it a message is handled as soon as its last byte is there, without waiting for
 // the end of the stream, which may come in a packet of its own.
@@ -80,35 +65,17 @@
 	if length > MaxMessageBytes {
 		return Envelope{}, fmt.Errorf("message of %d bytes is longer than %d", length, MaxMessageBytes)
 	}
-	raw, err := readWhole(r, int(length))
+	raw, err := codec.ReadWhole(r, int(length))
 	if err != nil {
 		return Envelope{}, fmt.Errorf("read message: %w", err)
 	}
 	return Decode(raw)
 }
 
-// firstRead bounds the memory that a message gets before any of it has come.
-const firstRead = 64 << 10
-
-// readWhole reads exactly length bytes. Memory grows with what has come, so that
-// a false length costs its sender as much as its receiver.
-func readWhole(r io.Reader, length int) ([]byte, error) {
-	if length <= firstRead {
-		raw := make([]byte, length)
-		_, err := io.ReadFull(r, raw)
-		return raw, err
-	}
-	raw, err := io.ReadAll(io.LimitReader(r, int64(length)))
-	if err == nil && len(raw) < length {
-		err = io.ErrUnexpectedEOF
-	}
-	return raw, err
-}
-
 // Decode decodes a raw envelope that came from another node.
 func Decode(raw []byte) (Envelope, error) {
 	var message Envelope
-	if err := Decoder.Unmarshal(raw, &message); err != nil {
+	if err := codec.Decoder.Unmarshal(raw, &message); err != nil {
 		return Envelope{}, fmt.Errorf("decode message: %w", err)
 	}
 	return message, nil
--- a/internal/connection/trunk/message.go
+++ b/internal/connection/trunk/message.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 )
 
 // MaxMessageBytes bounds one message.
@@ -57,9 +59,6 @@
 	return append(buffer, m.body...)
 }
 
-// firstRead bounds the memory that a message gets before any of it has come.
-const firstRead = 64 << 10
-
 // readMessage reads one message. Memory grows with what has come, so that a
 // false length costs its sender as much as its receiver.
 func readMessage(r io.Reader) (message, error) {
@@ -73,45 +72,15 @@
 	}
 	m := message{kind: kind(head[4]), number: binary.BigEndian.Uint64(head[5:])}
 	var err error
-	if m.body, err = readBody(r, length); err != nil {
+	if m.body, err = codec.ReadWhole(r, length); err != nil {
 		return message{}, fmt.Errorf("read message: %w", err)
 	}
 	return m, nil
 }
 
-func readBody(r io.Reader, length int) ([]byte, error) {
-	if length <= firstRead {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(length)))
-	if err == nil && len(body) < length {
-		err = io.ErrUnexpectedEOF
-	}
-	return body, err
-}
-
-// decoder decodes messages of other nodes with bounded nesting and sizes.
-var decoder = newDecoder()
-
-func newDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxNestedLevels:  16,
-		MaxArrayElements: 1 << 17,
-		MaxMapPairs:      1 << 16,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Decode decodes the body of a message.
 func Decode(body []byte, into any) error {
-	if err := decoder.Unmarshal(body, into); err != nil {
+	if err := codec.Decoder.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("decode message: %w", err)
 	}
 	return nil
--- a/internal/process/claims/claims.go
+++ b/internal/process/claims/claims.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bilberryvane/bilberryvane/claim"
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
@@ -186,7 +187,7 @@
 		return held, exchange.Answer{}, false, nil
 	case claim.Answered:
 		var kept exchange.Answer
-		if err := peer.Decoder.Unmarshal(r.Answer, &kept); err != nil {
+		if err := codec.Decoder.Unmarshal(r.Answer, &kept); err != nil {
 			return nil, exchange.Answer{}, false, unknown("its kept answer can't be read")
 		}
 		return nil, kept, true, nil
@@ -251,7 +252,7 @@
 		return reply{}, fmt.Errorf("ask holder: %w", err)
 	}
 	var r reply
-	if err := peer.Decoder.Unmarshal(answer, &r); err != nil {
+	if err := codec.Decoder.Unmarshal(answer, &r); err != nil {
 		return reply{}, fmt.Errorf("decode reply of holder: %w", err)
 	}
 	return r, nil
@@ -260,7 +261,7 @@
 // Handle answers a message of KindClaim.
 func (s *Service) Handle(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 	var m message
-	if err := peer.Decoder.Unmarshal(body, &m); err != nil {
+	if err := codec.Decoder.Unmarshal(body, &m); err != nil {
 		return nil, fmt.Errorf("decode claim: %w", err)
 	}
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
--- a/internal/process/ownership/ownership.go
+++ b/internal/process/ownership/ownership.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
@@ -267,7 +268,7 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w", address, err)
 	}
-	if err := peer.Decoder.Unmarshal(answer, reply); err != nil {
+	if err := codec.Decoder.Unmarshal(answer, reply); err != nil {
 		return fmt.Errorf("decode reply of %s: %w", address, err)
 	}
 	return nil
--- a/internal/process/ownership/status.go
+++ b/internal/process/ownership/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/shard"
 )
@@ -40,7 +41,7 @@
 // HandleMember answers a message of KindMember.
 func (s *Service) HandleMember(_ context.Context, from peer.Identity, body []byte) ([]byte, error) {
 	var m memberMessage
-	if err := peer.Decoder.Unmarshal(body, &m); err != nil {
+	if err := codec.Decoder.Unmarshal(body, &m); err != nil {
 		return nil, fmt.Errorf("decode request to a member: %w", err)
 	}
 	k := s.slot(m.Shard)
@@ -54,7 +55,7 @@
 // HandleStatus answers a message of KindStatus.
 func (s *Service) HandleStatus(_ context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 	var m statusMessage
-	if err := peer.Decoder.Unmarshal(body, &m); err != nil {
+	if err := codec.Decoder.Unmarshal(body, &m); err != nil {
 		return nil, fmt.Errorf("decode question about a shard: %w", err)
 	}
 	return encode(s.Status(m.Shard))
@@ -63,7 +64,7 @@
 // HandleTake answers a message of KindTake: the node begins to take the shard.
 func (s *Service) HandleTake(_ context.Context, from peer.Identity, body []byte) ([]byte, error) {
 	var m statusMessage
-	if err := peer.Decoder.Unmarshal(body, &m); err != nil {
+	if err := codec.Decoder.Unmarshal(body, &m); err != nil {
 		return nil, fmt.Errorf("decode handover: %w", err)
 	}
 	nodes := slices.DeleteFunc(s.parts.Directory.Nodes(), func(n Node) bool { return n.Host == from.Host })
--- a/internal/process/suspects/suspects.go
+++ b/internal/process/suspects/suspects.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
@@ -105,7 +106,7 @@
 
 func (w *Watch) merge(payload []byte) error {
 	var rumours []quarantine.Rumour
-	if err := peer.Decoder.Unmarshal(payload, &rumours); err != nil {
+	if err := codec.Decoder.Unmarshal(payload, &rumours); err != nil {
 		return fmt.Errorf("decode strikes: %w", err)
 	}
 	w.mu.Lock()
--- a/internal/request/exchange/exchange_test.go
+++ b/internal/request/exchange/exchange_test.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
-	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
@@ -27,7 +27,7 @@
 	raw, err := cbor.Marshal(sent)
 	is.NoErr(err)
 	var got exchange.Answer
-	is.NoErr(peer.Decoder.Unmarshal(raw, &got))
+	is.NoErr(codec.Decoder.Unmarshal(raw, &got))
 	is.True(reflect.DeepEqual(got, sent))
 }
 
@@ -44,14 +44,14 @@
 	f.Add([]byte{0xa2, 0x01, 0xa0, 0x01, 0xa0})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var first, second exchange.Request
-		if err := peer.Decoder.Unmarshal(raw, &first); err != nil {
+		if err := codec.Decoder.Unmarshal(raw, &first); err != nil {
 			return
 		}
 		again, err := cbor.Marshal(first)
 		if err != nil {
 			t.Fatalf("a request that was read can't be written: %v", err)
 		}
-		if err := peer.Decoder.Unmarshal(again, &second); err != nil {
+		if err := codec.Decoder.Unmarshal(again, &second); err != nil {
 			t.Fatalf("a request that was written can't be read: %v", err)
 		}
 		if !reflect.DeepEqual(normal(first), normal(second)) {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
 	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
@@ -190,7 +191,7 @@
 		return undelivered(limited, err, r.Context), limited.Err() == nil
 	}
 	var answer exchange.Answer
-	if err := peer.Decoder.Unmarshal(reply, &answer); err != nil {
+	if err := codec.Decoder.Unmarshal(reply, &answer); err != nil {
 		lost := refusal.New(refusal.IncompatiblePeer).WithOutcome(refusal.Unknown)
 		return exchange.Refused(lost), true
 	}
@@ -234,7 +235,7 @@
 func Serve(local Executor, c clock.Clock) peer.Handler {
 	return func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 		var r exchange.Request
-		if err := peer.Decoder.Unmarshal(body, &r); err != nil {
+		if err := codec.Decoder.Unmarshal(body, &r); err != nil {
 			return encode(exchange.Refused(refusal.New(refusal.IncompatiblePeer)))
 		}
 		received := r.Context.WithReceived(c.Now())
