Log the request limits and departures that backend servers state

Neither logs nor metrics showed whether a node sees the limit of its backend server, nor how many requests it sends it, nor how many of them are retries.

The dialect reads Server-Limit and Server-Leaving from each answer. Event 1510 tells a change of either with the requests sent since the previous one, event 1511 a malformed one; four metrics count the same.

--- a/internal/process/backendserver/server.go
+++ b/internal/process/backendserver/server.go
@@ -90,6 +90,9 @@
 	earlierDraining fleet.Backend
 	// left is the last backend server that left before it was announced to this process.
 	left departure
+	// stated is what the backend server stated last in its answers.
+	stated statement
+	usage  Usage
 }
 
 // A departure is the notice of a backend server that it leaves.
@@ -209,6 +212,7 @@
 		s.link.Close()
 		s.link = backend.NewLink(s.settings.Address, s.settings.Connections, s.clock)
 		s.drainingSince = time.Time{}
+		s.stated = statement{}
 		s.record.WarmAt = 0
 	}
 	s.sequence = a.Sequence
--- a/internal/process/event/sidecar.go
+++ b/internal/process/event/sidecar.go
@@ -14,6 +14,8 @@
 	NoticeUnreadable   = define(1507, "notice-unreadable", log.WarnLevel, "A notice from another node could not be decoded and was ignored.")
 	LinesDropped       = define(1508, "log-lines-dropped", log.WarnLevel, "Log lines were dropped because they exceeded the rate limit or the output was not read.")
 	RequestsUnfinished = define(1509, "requests-unfinished", log.WarnLevel, "The shutdown ended before all requests were answered.")
+	BackendStatus      = define(1510, "backend-server-status", log.InfoLevel, "The backend server of this host states in its answers a new request limit, the end of one, or that it is leaving; the requests sent to it since its previous statement are given.")
+	StatusUnreadable   = define(1511, "backend-server-status-unreadable", log.WarnLevel, "An answer of the backend server states a malformed request limit or departure, which was ignored.")
 )
 
 // Events of connections to other nodes and to the store: 1600 to 1699.
--- a/internal/process/sidecar/counters.go
+++ b/internal/process/sidecar/counters.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bilberryvane/bilberryvane/internal/process/backendserver"
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
 )
 
@@ -21,9 +22,12 @@
 	refused            *expvar.Map
 	latency            [len(latencyBounds) + 1]expvar.Int
 	latencySum         expvar.Int
+	backendServer      *backendserver.Server
 }
 
-func newCounters() *counters { return &counters{refused: new(expvar.Map).Init()} }
+func newCounters(s *backendserver.Server) *counters {
+	return &counters{refused: new(expvar.Map).Init(), backendServer: s}
+}
 
 // Count counts one request. It implements relay.Counter.
 func (c *counters) Count(reason refusal.Reason, target, elapsed time.Duration) {
@@ -62,6 +66,19 @@
 	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_bucket{le=\"+Inf\"} %d\n", total)
 	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_sum %d\n", c.latencySum.Value())
 	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_count %d\n", total)
+	c.writeBackendServer(&b)
 	response.Header.SetContentType("text/plain; version=0.0.4")
 	response.SetBodyString(b.String())
 }
+
+// writeBackendServer writes the metrics of the backend server on this host. There is no
+// request limit while the backend server states none.
+func (c *counters) writeBackendServer(b *strings.Builder) {
+	usage := c.backendServer.Usage()
+	fmt.Fprintf(b, "bilberryvane_backend_server_requests_total %d\n", usage.Sent)
+	fmt.Fprintf(b, "bilberryvane_backend_server_retries_total %d\n", usage.Retried)
+	fmt.Fprintf(b, "bilberryvane_backend_server_limited_requests_total %d\n", usage.SentWhileLimited)
+	if status := c.backendServer.Status(); status.Limited {
+		fmt.Fprintf(b, "bilberryvane_backend_server_request_limit %g\n", status.RequestLimit)
+	}
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -99,7 +99,7 @@
 func Start(s Settings, d Deps) (*Node, error) {
 	n := &Node{
 		settings: s, deps: d, clock: d.Clock, log: d.Log,
-		directory: fleet.NewDirectory(), quota: quota.New(s.Name, s.Zone, s.FirstStart, s.RateTolerance, d.Clock), counters: newCounters(),
+		directory: fleet.NewDirectory(), quota: quota.New(s.Name, s.Zone, s.FirstStart, s.RateTolerance, d.Clock),
 		planner: demand.New(s.Name, retryShare*s.Retries.Share, d.Clock),
 	}
 	n.grace.Store(int64(s.Grace))
@@ -113,6 +113,7 @@
 	n.backend = backendserver.New(backendserver.Settings{
 		Address: s.Backend, Service: s.Service, Connections: maxBackendConnections, DrainTime: s.Drain, AnnounceInterval: s.AnnounceInterval,
 	}, d.Clock, d.Log, n.publishBackend)
+	n.counters = newCounters(n.backend)
 	n.admission = admitter.New(s.Name, n.configuration, d.Clock, admission.WithFixedLimit())
 	if err := n.listen(); err != nil {
 		n.close()
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -28,6 +28,11 @@
 	Ready(now time.Time, service string) (id string, link *backend.Link, err error)
 	// MarkLost records that the backend server could not be reached.
 	MarkLost(id string)
+	// RecordSent counts a request that is sent over a link.
+	RecordSent(link *backend.Link, retried bool)
+	// RecordStatus records what an answer that arrived over a link states. malformed
+	// is set if some of it could not be read.
+	RecordStatus(link *backend.Link, s exchange.BackendStatus, malformed error)
 }
 
 // A UsageRecorder records how requests use the backend server.
@@ -153,11 +158,16 @@
 	end := x.running.Start(o.Context)
 	started := x.clock.Now()
 	kind := Unrelated
+	x.backendServer.RecordSent(link, o.Context.Retried)
 	err = link.Exchange(ctx, request, response, func(r *fasthttp.Response) bool {
 		kind = x.dialect.Classify(r, o.Context.RequestID)
 		return kind != Unrelated
 	})
 	calls := end()
+	if err == nil && kind != Misdirected {
+		status, malformed := x.dialect.Status(response)
+		x.backendServer.RecordStatus(link, status, malformed)
+	}
 	x.usage.RecordSent(err == nil && kind == NotRun)
 	if err == nil && kind == Answered && !serverError(response.StatusCode()) {
 		x.usage.RecordRun(o.Route, x.clock.Now().Sub(started), calls)
--- a/internal/request/relay/order.go
+++ b/internal/request/relay/order.go
@@ -75,6 +75,9 @@
 	Prepare(request *fasthttp.Request, o Order, remaining time.Duration)
 	// Classify classifies a response to the request with the id.
 	Classify(response *fasthttp.Response, id string) ResponseKind
+	// Status reads what the backend server states about itself in a response. The
+	// error says which fields are malformed; they are missing in the result.
+	Status(response *fasthttp.Response) (exchange.BackendStatus, error)
 	// Answer fills in the response to the caller's request.
 	Answer(response *fasthttp.Response, id string, a exchange.Answer)
 }
