Enforce the request limit that a backend server states in its answers

Cause: the node passed the answer's field on and did not read it. A restart adds to it: what a node knows of its backend server ends with the process.

Fix: only the node beside a backend server can reach it, so its admission holds the sum over all nodes. A token bucket starts no more requests per second than stated; the queue in front gives them to the more important ones; the rest is refused as not run, in plain words, and tried elsewhere. The load in answers shows no free slots beyond it, and the demand report counts only the slots that the rate uses, so that routing and the plan of root requests follow. Answers carry the status to the sender, orders carry it back: a restarted node uses it until its backend server has answered. A limit ends 200 ms after the last answer that stated it, as answers can overtake each other.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -49,12 +49,13 @@
 }
 
 // A Controller makes the admission decisions for one backend server. Its invariants:
-// it never starts a request that would exceed the limit; no slot is idle while a
-// request is queued; and when a request is shed as overloaded, no request of lower
+// it never starts a request that would exceed the limit, or the requests per second of
+// the capacity; no slot is idle while a request is queued, unless for that rate; and when a request is shed as overloaded, no request of lower
 // importance is queued, none was started since its arrival, and none is admitted
 // until the hold time has passed or a slot is idle with an empty queue.
 type Controller struct {
 	limit        *Limit
+	rate         requestRate
 	queue        *Queue
 	queueLength  int
 	maxWaitShare float64
@@ -83,15 +84,22 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.rate.set(capacity)
 	return c
 }
 
 // Restart restarts slow start after the backend server was replaced. Requests that
 // ran in the old one must be completed with Done.
-func (c *Controller) Restart(capacity Capacity) { c.limit.Restart(capacity) }
+func (c *Controller) Restart(capacity Capacity) {
+	c.limit.Restart(capacity)
+	c.rate.set(capacity)
+}
 
 // SetCapacity updates the capacity that the backend server announces.
-func (c *Controller) SetCapacity(capacity Capacity) { c.limit.SetCapacity(capacity) }
+func (c *Controller) SetCapacity(capacity Capacity) {
+	c.limit.SetCapacity(capacity)
+	c.rate.set(capacity)
+}
 
 // Admit starts, queues or sheds a request that has arrived.
 func (c *Controller) Admit(now time.Time, r Request) Actions {
@@ -159,7 +167,7 @@
 		AdmittedImportance: c.admittedImportance,
 		QueueDelay:         c.queue.Delay(now),
 		Running:            len(c.running),
-		FreeSlots:          max(0, c.freeSlots()-c.queue.Len()),
+		FreeSlots:          max(0, c.startable(now)-c.queue.Len()),
 		Waiting:            c.queue.Len(),
 	}
 }
@@ -169,9 +177,12 @@
 
 func (c *Controller) freeSlots() int { return c.limit.Value() - len(c.running) }
 
+// startable returns the number of requests that may start at once.
+func (c *Controller) startable(now time.Time) int { return c.rate.available(now, c.freeSlots()) }
+
 // startQueued assigns queued requests to free slots.
 func (c *Controller) startQueued(now time.Time, a *Actions) {
-	for c.freeSlots() > 0 {
+	for c.startable(now) > 0 {
 		r, queued, ok := c.queue.Pop()
 		if !ok {
 			return
@@ -181,6 +192,7 @@
 			continue
 		}
 		c.running[r.ID] = struct{}{}
+		c.rate.take()
 		c.starts.add(now)
 		a.Runs = append(a.Runs, Run{ID: r.ID, Waited: now.Sub(queued)})
 	}
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -48,13 +48,17 @@
 	defaultStartLimit = 8
 )
 
-// A Capacity is what a backend server announces about itself. It bounds the limit
-// from above but is otherwise only a hint, because it may be wrong.
+// A Capacity is what a backend server announces about itself. Its slots and connections
+// bound the limit from above but are otherwise only hints, because they may be wrong.
 type Capacity struct {
 	// Slots is the number of requests it runs concurrently; zero if not announced.
 	Slots int
 	// Connections is the number of connections it accepts; zero if not announced.
 	Connections int
+	// Limited reports whether it limits the requests per second, to RequestsPerSecond.
+	// Unlike the rest this is binding.
+	Limited           bool
+	RequestsPerSecond float64
 }
 
 // maxLimit returns the upper bound of the limit.
--- a/internal/process/admitter/admitter.go
+++ b/internal/process/admitter/admitter.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -144,7 +145,19 @@
 	if d.shed.Reason == admission.DeadlineUnreachable {
 		reason = refusal.DeadlinePassed
 	}
-	return nil, refusal.New(reason).WithRetryAfter(d.shed.RetryAfter)
+	r := refusal.New(reason).WithRetryAfter(d.shed.RetryAfter)
+	if limit, ok := a.requestLimit(); ok && reason == refusal.Overloaded {
+		r = r.WithDetail(fmt.Sprintf("its backend server accepts %.3g requests per second at present", limit))
+	}
+	return nil, r
+}
+
+// requestLimit returns the requests per second that the backend server accepts, and
+// whether it limits them.
+func (a *Admitter) requestLimit() (float64, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.capacity.RequestsPerSecond, a.capacity.Limited
 }
 
 func (a *Admitter) complete(id uint64, start time.Time, r execute.Result) {
--- a/internal/process/backendserver/status.go
+++ b/internal/process/backendserver/status.go
@@ -32,10 +32,18 @@
 	// since is when it stated the status first, usage the requests sent until then.
 	since time.Time
 	usage Usage
+	// limitedAt is when an answer last stated a request limit.
+	limitedAt time.Time
+	// answered reports whether it has answered this process of the node.
+	answered bool
 	// malformed is the last error that was logged about its answers.
 	malformed string
 }
 
+// limitEndDelay is the time without an answer that states a request limit after which the
+// limit has ended. Answers sent before the limit was stated can arrive after it.
+const limitEndDelay = 200 * time.Millisecond
+
 // RecordSent counts a request that is sent over a link. It implements
 // relay.BackendServer.
 func (s *Server) RecordSent(link *backend.Link, retried bool) {
@@ -55,38 +63,80 @@
 // repeated errors are logged once. It implements relay.BackendServer.
 func (s *Server) RecordStatus(link *backend.Link, status exchange.BackendStatus, malformed error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if link != s.link {
+		s.mu.Unlock()
 		return
 	}
+	now := s.clock.Now()
 	if malformed != nil {
-		if !status.Limited {
-			status.Limited, status.RequestLimit = s.stated.status.Limited, s.stated.status.RequestLimit
-		}
-		if text := malformed.Error(); text != s.stated.malformed {
-			s.stated.malformed = text
-			s.log.Emit(event.StatusUnreadable, log.Fields{"backend-server": s.record.ID, "error": text})
-		}
+		s.logMalformed(malformed)
+	}
+	switch stated := &s.stated; {
+	case status.Limited:
+		stated.limitedAt = now
+	case stated.status.Limited && (malformed != nil || now.Sub(stated.limitedAt) < limitEndDelay):
+		status = status.WithRequestLimit(stated.status.RequestLimit)
 	}
-	if status != s.stated.status {
-		s.state(status)
+	s.stated.answered = true
+	changed := s.state(now, status)
+	s.mu.Unlock()
+	if changed {
+		s.changed()
 	}
 }
 
-// state records a new status and logs it. mu must be held.
-func (s *Server) state(status exchange.BackendStatus) {
-	before, now := s.stated, s.clock.Now()
-	s.stated = statement{status: status, since: now, usage: s.usage, malformed: before.malformed}
+// AdoptStatus uses a status that another node knows until the backend server with the id
+// has answered. Otherwise a node that restarts would exceed the limit of its backend
+// server until then. It implements relay.BackendServer.
+func (s *Server) AdoptStatus(id string, status exchange.BackendStatus) {
+	s.mu.Lock()
+	changed := id == s.record.ID && !s.stated.answered && status.Valid() && s.state(s.clock.Now(), status)
+	s.mu.Unlock()
+	if changed {
+		s.changed()
+	}
+}
+
+// Report returns what the backend server has stated, or zero if it states nothing. It
+// implements relay.BackendServer.
+func (s *Server) Report() exchange.BackendReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stated.status == (exchange.BackendStatus{}) {
+		return exchange.BackendReport{}
+	}
+	return exchange.BackendReport{ID: s.record.ID, Born: s.record.Born, Status: s.stated.status}
+}
+
+// logMalformed logs an error of an answer unless it was the last one logged. mu must be
+// held.
+func (s *Server) logMalformed(malformed error) {
+	text := malformed.Error()
+	if text == s.stated.malformed {
+		return
+	}
+	s.stated.malformed = text
+	s.log.Emit(event.StatusUnreadable, log.Fields{"backend-server": s.record.ID, "error": text})
+}
+
+// state records a status and reports whether it is new, which it logs. mu must be held.
+func (s *Server) state(now time.Time, status exchange.BackendStatus) bool {
+	before := s.stated
+	if status == before.status {
+		return false
+	}
+	s.stated.status, s.stated.since, s.stated.usage = status, now, s.usage
 	sent := s.usage.minus(before.usage)
 	fields := log.Fields{
 		"backend-server": s.record.ID, "limited": status.Limited, "request-limit": status.RequestLimit, "leaving": status.Leaving,
 		"limited-before": before.status.Limited, "request-limit-before": before.status.RequestLimit,
-		"sent-since": sent.Sent, "retried-since": sent.Retried,
+		"sent-since": sent.Sent, "retried-since": sent.Retried, "answered": s.stated.answered,
 	}
 	if !before.since.IsZero() {
 		fields["stated-for"] = now.Sub(before.since).String()
 	}
 	s.log.Emit(event.BackendStatus, fields)
+	return true
 }
 
 // Status returns what the backend server stated last.
--- a/internal/process/backendserver/status_test.go
+++ b/internal/process/backendserver/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -89,3 +90,42 @@
 	s.RecordStatus(old, exchange.BackendStatus{}.WithLeaving(), nil)
 	is.Equal(s.Status(), exchange.BackendStatus{})
 }
+
+// Answers that were sent before a limit was stated can arrive after it.
+func TestRequestLimitEndsAfterDelay(t *testing.T) {
+	is := is.New(t)
+	s, c, _ := newLoggedServer(t)
+	_, link, err := s.Ready(c.Now(), "rounds")
+	is.NoErr(err)
+	limited := exchange.BackendStatus{}.WithRequestLimit(20)
+	s.RecordStatus(link, limited, nil)
+	c.Advance(100 * time.Millisecond)
+	s.RecordStatus(link, exchange.BackendStatus{}, nil)
+	is.Equal(s.Status(), limited)
+	is.Equal(s.Report(), exchange.BackendReport{ID: "i-1", Born: 100, Status: limited})
+	c.Advance(100 * time.Millisecond)
+	s.RecordStatus(link, exchange.BackendStatus{}, nil)
+	is.Equal(s.Status(), exchange.BackendStatus{})
+	is.Equal(s.Report(), exchange.BackendReport{})
+}
+
+// The node has restarted; other nodes know the limit of its backend server.
+func TestStatusOfOtherNodesIsUsedUntilFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	s, c, _ := newLoggedServer(t)
+	known := exchange.BackendStatus{}.WithRequestLimit(20)
+	s.AdoptStatus("i-0", known)
+	is.Equal(s.Status(), exchange.BackendStatus{}) // of an earlier backend server
+	for _, limit := range []float64{math.NaN(), math.Inf(1), -1} {
+		s.AdoptStatus("i-1", exchange.BackendStatus{}.WithRequestLimit(limit))
+		is.Equal(s.Status(), exchange.BackendStatus{})
+	}
+	s.AdoptStatus("i-1", known)
+	is.Equal(s.Status(), known)
+	_, link, err := s.Ready(c.Now(), "rounds")
+	is.NoErr(err)
+	s.RecordStatus(link, exchange.BackendStatus{}, nil)
+	is.Equal(s.Status(), exchange.BackendStatus{}) // the limit has ended in the meantime
+	s.AdoptStatus("i-1", known)
+	is.Equal(s.Status(), exchange.BackendStatus{})
+}
--- a/internal/process/demand/demand.go
+++ b/internal/process/demand/demand.go
@@ -200,6 +200,22 @@
 	p.updatePlan(now)
 }
 
+// SlotsForRate returns the number of slots that a rate of requests per second uses. It is
+// infinite until the duration of the runs is known.
+func (p *Planner) SlotsForRate(perSecond float64) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	runs, seconds := 0.0, 0.0
+	for _, s := range p.stats {
+		runs += s.Runs
+		seconds += s.SlotSeconds
+	}
+	if runs == 0 {
+		return math.Inf(1)
+	}
+	return perSecond * seconds / runs
+}
+
 // updatePlan passes what is known of all hosts to the plan and updates it. mu must be
 // held.
 func (p *Planner) updatePlan(now time.Time) {
--- a/internal/process/demand/demand_test.go
+++ b/internal/process/demand/demand_test.go
@@ -119,3 +119,14 @@
 		is.True(ok) // the cost is known and fits
 	}
 }
+
+// A service whose backend servers limit their requests has fewer slots than they
+// announce, and requests above that are refused where they enter.
+func TestSlotsForRateFollowDurationOfRuns(t *testing.T) {
+	is := is.New(t)
+	p := demand.New("host", 0.2, clock.NewFake(time.Unix(1_700_000_000, 0)))
+	is.True(math.IsInf(p.SlotsForRate(20), 1)) // no run has ended yet
+	p.RecordRun("sheet", 50*time.Millisecond, nil)
+	p.RecordRun("book", 150*time.Millisecond, nil)
+	is.True(math.Abs(p.SlotsForRate(20)-2) < 1e-9)
+}
--- a/internal/process/sidecar/router.go
+++ b/internal/process/sidecar/router.go
@@ -37,9 +37,10 @@
 	connections Connections
 	clock       clock.Clock
 
-	// mu guards services.
-	mu       sync.Mutex
-	services map[string]*serviceRouter
+	// mu guards the fields below.
+	mu         sync.Mutex
+	services   map[string]*serviceRouter
+	statements *fleet.Statements
 }
 
 // A serviceRouter balances the requests of one service over its hosts.
@@ -54,7 +55,7 @@
 func newRouter(host, zone string, d *fleet.Directory, c Connections, k clock.Clock) *router {
 	return &router{
 		host: host, zone: zone, directory: d, connections: c, clock: k,
-		services: make(map[string]*serviceRouter),
+		services: make(map[string]*serviceRouter), statements: fleet.NewStatements(),
 	}
 }
 
@@ -69,7 +70,8 @@
 	if err != nil {
 		return relay.Target{}, refusal.New(refusal.NoBackendServer).WithRetryAfter(unreachableRetryAfter)
 	}
-	return relay.Target{Host: node.Host, Backend: s.backends[node.Host]}, nil
+	id := s.backends[node.Host]
+	return relay.Target{Host: node.Host, Backend: id, Status: r.statements.Status(node.Host, id)}, nil
 }
 
 // Observe records the result of an attempt. It implements relay.Router.
@@ -97,6 +99,9 @@
 			s.router.SetLeaving(t.Host)
 		}
 	}
+	if a.Load.Host != "" {
+		r.statements.Record(t.Host, a.Backend)
+	}
 	s.router.Done(now, t.Host, result)
 }
 
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -87,6 +87,9 @@
 	announcements *ingress.Server
 	metrics       *ingress.Server
 	leaving       atomic.Bool
+	// applying is held while the state of the backend server is read and applied, so that
+	// an older state doesn't replace a newer one.
+	applying sync.Mutex
 	// fleetKnown is set once the store or another node has provided the list of hosts.
 	fleetKnown atomic.Bool
 	// grace is the grace period of the settings in nanoseconds; a reload can change it.
@@ -112,7 +115,7 @@
 	n.loads = zoneload.New(s.Name, s.Zone, n.record.Host().Incarnation, d.Clock)
 	n.backend = backendserver.New(backendserver.Settings{
 		Address: s.Backend, Service: s.Service, Connections: maxBackendConnections, DrainTime: s.Drain, AnnounceInterval: s.AnnounceInterval,
-	}, d.Clock, d.Log, n.publishBackend)
+	}, d.Clock, d.Log, n.applyBackend)
 	n.counters = newCounters(n.backend)
 	n.admission = admitter.New(s.Name, n.configuration, d.Clock, admission.WithFixedLimit())
 	if err := n.listen(); err != nil {
@@ -242,13 +245,17 @@
 }
 
 // sampleDemand records the slots of the backend server and the waiting requests. The
-// backend server counts as having no slots while it doesn't serve.
+// backend server counts as having no slots while it doesn't serve, and no more than it
+// needs for its request limit.
 func (n *Node) sampleDemand() {
 	b := n.backend.Backend()
 	slots := 0.0
 	if b.ID != "" && b.State == fleet.Serving {
 		slots = float64(b.Slots)
 	}
+	if status := n.backend.Status(); status.Limited {
+		slots = min(slots, n.planner.SlotsForRate(status.RequestLimit))
+	}
 	if summaries := n.loads.Summaries(); len(summaries) > 0 {
 		n.planner.UseSummaries(n.settings.Zone, summaries)
 	} else {
@@ -278,10 +285,18 @@
 	}
 }
 
-// publishBackend publishes the announced state of the backend server.
-func (n *Node) publishBackend() {
-	b := n.backend.Backend()
-	n.admission.SetCapacity(admission.Capacity{Slots: b.Slots, Connections: maxBackendConnections})
+// applyBackend applies the state of the backend server to the admission of requests, and
+// publishes it if the announced part has changed.
+func (n *Node) applyBackend() {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	b, status := n.backend.Backend(), n.backend.Status()
+	n.admission.SetCapacity(admission.Capacity{
+		Slots: b.Slots, Connections: maxBackendConnections, Limited: status.Limited, RequestsPerSecond: status.RequestLimit,
+	})
+	if b == n.record.Host().Backend {
+		return
+	}
 	n.record.update(func(h *fleet.Host) { h.Backend = b })
 	n.notifyPeers()
 }
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -74,6 +74,9 @@
 	Load Load `cbor:"6,keyasint,omitempty"`
 	// Pressure is the load of the bottleneck service of the call and those below it.
 	Pressure Pressure `cbor:"7,keyasint,omitempty"`
+	// Backend is the status of the executing node's backend server, if that has stated
+	// any.
+	Backend BackendReport `cbor:"8,keyasint,omitzero"`
 	// RequestID is the id of the root request, as returned to its caller.
 	RequestID string `cbor:"-"`
 }
@@ -93,6 +96,12 @@
 	return a
 }
 
+// WithBackend returns the answer with a report on the backend server.
+func (a Answer) WithBackend(r BackendReport) Answer {
+	a.Backend = r
+	return a
+}
+
 // WithPressure returns the answer with the pressure of the bottleneck service.
 func (a Answer) WithPressure(p Pressure) Answer {
 	a.Pressure = p
--- a/internal/request/exchange/status.go
+++ b/internal/request/exchange/status.go
@@ -1,5 +1,7 @@
 package exchange
 
+import "math"
+
 // A BackendStatus is what a backend server states about itself in its answers.
 type BackendStatus struct {
 	// Limited reports whether the backend server limits its requests. RequestLimit is
@@ -10,6 +12,12 @@
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Valid reports whether the request limit is a number of requests. Statuses of other nodes
+// may not be.
+func (s BackendStatus) Valid() bool {
+	return s.RequestLimit >= 0 && !math.IsInf(s.RequestLimit, 1)
+}
+
 // WithRequestLimit returns the status with a request limit, in requests per second.
 func (s BackendStatus) WithRequestLimit(perSecond float64) BackendStatus {
 	s.Limited, s.RequestLimit = true, perSecond
@@ -21,3 +29,12 @@
 	s.Leaving = true
 	return s
 }
+
+// A BackendReport is the status that a node reports of its backend server.
+type BackendReport struct {
+	// ID identifies the backend server, Born is its start time in Unix milliseconds by
+	// its own clock, which tells restarts under one ID apart.
+	ID     string        `cbor:"1,keyasint"`
+	Born   int64         `cbor:"2,keyasint,omitempty"`
+	Status BackendStatus `cbor:"3,keyasint"`
+}
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -28,6 +28,11 @@
 	Ready(now time.Time, service string) (id string, link *backend.Link, err error)
 	// MarkLost records that the backend server could not be reached.
 	MarkLost(id string)
+	// AdoptStatus uses a status that another node knows until the backend server
+	// with the id has answered.
+	AdoptStatus(id string, s exchange.BackendStatus)
+	// Report returns what the backend server has stated, or zero if it states nothing.
+	Report() exchange.BackendReport
 	// RecordSent counts a request that is sent over a link.
 	RecordSent(link *backend.Link, retried bool)
 	// RecordStatus records what an answer that arrived over a link states. malformed
@@ -88,8 +93,11 @@
 func (x *Executor) Execute(ctx context.Context, o Order) exchange.Answer {
 	ctx, cancel := context.WithDeadline(ctx, o.Context.Deadline)
 	defer cancel()
+	if o.Status.Limited {
+		x.backendServer.AdoptStatus(o.Backend, o.Status)
+	}
 	result := x.execute(ctx, o)
-	answer := result.Answer.WithLoad(x.admission.Load())
+	answer := result.Answer.WithLoad(x.admission.Load()).WithBackend(x.backendServer.Report())
 	if !result.Sent {
 		answer = answer.WithUnusedAttempts(1)
 	}
--- a/internal/request/relay/order.go
+++ b/internal/request/relay/order.go
@@ -33,6 +33,9 @@
 	Backend string `cbor:"8,keyasint"`
 	// Route is the route of this call; the context holds that of its root request.
 	Route string `cbor:"9,keyasint"`
+	// Status is what the backend server stated last, as far as the sender knows. A node
+	// that has restarted uses it until its backend server answers.
+	Status exchange.BackendStatus `cbor:"10,keyasint,omitzero"`
 }
 
 // Metadata is the information that a caller sends about a request in header fields.
--- a/internal/request/relay/sender.go
+++ b/internal/request/relay/sender.go
@@ -31,6 +31,8 @@
 type Target struct {
 	Host    string
 	Backend string
+	// Status is what the backend server stated last in an answer to this node.
+	Status exchange.BackendStatus
 }
 
 // A Router picks executing nodes and observes their answers. Its error is a
@@ -191,7 +193,7 @@
 // try sends an order to one node. The second result reports whether a backend server
 // may have received the request.
 func (s *Sender) try(ctx context.Context, o Order, t Target) (exchange.Answer, bool) {
-	o.Backend = t.Backend
+	o.Backend, o.Status = t.Backend, t.Status
 	start := s.clock.Now()
 	if t.Host == s.host {
 		answer := s.local.Execute(ctx, o)
