Drain backend servers that state their departure in answers

What callers would see: requests to a backend server that is about to end, which fail with it.

Cause: the same as for request limits. The field of the answer was passed on and not read, and what a node knows of its backend server ended with its process. The second part was open before for announced departures too: peers replaced the record "draining" by that of the restarted node, "serving", and the node learned otherwise only from the store, or from a peer that had not yet seen its new record.

Fix: the node beside the backend server starts the drain with the first answer that states the departure, and tells all others in its record. A directory keeps which backend server of a host was draining, from records and from answers to its own node; a later record of the same process can't undo it, a process with another ID or start time does. Asked for its records, it tells a restarted node, which then drains too, also if the peer has its new record already.

Why it works without the store: an entry node acts on what it passed on itself, and does not pick the backend server from that answer on.

--- a/internal/process/backendserver/status.go
+++ b/internal/process/backendserver/status.go
@@ -59,8 +59,9 @@
 }
 
 // RecordStatus records what an answer that arrived over a link states. Answers of an
-// earlier backend server are ignored. A malformed answer doesn't end a request limit, and
-// repeated errors are logged once. It implements relay.BackendServer.
+// earlier backend server are ignored. A backend server that states that it leaves drains
+// from then on. A malformed answer doesn't end a request limit, and repeated errors are
+// logged once. It implements relay.BackendServer.
 func (s *Server) RecordStatus(link *backend.Link, status exchange.BackendStatus, malformed error) {
 	s.mu.Lock()
 	if link != s.link {
@@ -77,6 +78,11 @@
 	case stated.status.Limited && (malformed != nil || now.Sub(stated.limitedAt) < limitEndDelay):
 		status = status.WithRequestLimit(stated.status.RequestLimit)
 	}
+	if status.Leaving {
+		s.startDrain(now)
+	} else if s.stated.status.Leaving {
+		status = status.WithLeaving() // The answer was sent before the others.
+	}
 	s.stated.answered = true
 	changed := s.state(now, status)
 	s.mu.Unlock()
@@ -85,11 +91,12 @@
 	}
 }
 
-// AdoptStatus uses a status that another node knows until the backend server with the id
-// has answered. Otherwise a node that restarts would exceed the limit of its backend
+// AdoptStatus uses a request limit that another node knows until the backend server with
+// the id has answered. Otherwise a node that restarts would exceed the limit of its backend
 // server until then. It implements relay.BackendServer.
 func (s *Server) AdoptStatus(id string, status exchange.BackendStatus) {
 	s.mu.Lock()
+	status.Leaving = s.stated.status.Leaving
 	changed := id == s.record.ID && !s.stated.answered && status.Valid() && s.state(s.clock.Now(), status)
 	s.mu.Unlock()
 	if changed {
--- a/internal/process/backendserver/status_test.go
+++ b/internal/process/backendserver/status_test.go
@@ -13,6 +13,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/backendserver"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
+	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 )
 
@@ -129,3 +130,26 @@
 	s.AdoptStatus("i-1", known)
 	is.Equal(s.Status(), exchange.BackendStatus{})
 }
+
+// A backend server that states its departure in answers only drains like one that
+// announces it, whatever its later announcements and answers state.
+func TestStatedDepartureStartsDrain(t *testing.T) {
+	is := is.New(t)
+	s, c, _ := newLoggedServer(t)
+	_, link, err := s.Ready(c.Now(), "rounds")
+	is.NoErr(err)
+	s.RecordStatus(link, exchange.BackendStatus{}.WithLeaving(), nil)
+	is.Equal(s.Backend().State, fleet.Draining)
+	_, _, err = s.Ready(c.Now(), "rounds")
+	is.NoErr(err) // the drain time is not over
+	s.RecordStatus(link, exchange.BackendStatus{}, nil)
+	is.Equal(s.Report().Status, exchange.BackendStatus{}.WithLeaving())
+	is.NoErr(s.Announce(announcement("i-1", 100, 2)))
+	is.Equal(s.Backend().State, fleet.Draining)
+	c.Advance(2 * time.Second)
+	_, _, err = s.Ready(c.Now(), "rounds")
+	is.True(err != nil)
+	is.NoErr(s.Announce(announcement("i-1", 200, 1))) // it restarted under the same ID
+	is.Equal(s.Backend().State, fleet.Serving)
+	is.Equal(s.Report(), exchange.BackendReport{})
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -68,21 +68,26 @@
 	return !h.Leaving && h.Backend.ID != "" && h.Backend.Service == service && h.Backend.State == Serving
 }
 
-// A Directory holds the latest record of each host. It is safe for concurrent use.
+// A Directory holds the latest record of each host. A backend server that was once
+// draining never becomes serving again, even if a restart of the node beside it makes it
+// announce that. A Directory is safe for concurrent use.
 type Directory struct {
 	// mu guards the fields below.
-	mu      sync.RWMutex
-	hosts   map[string]Host
-	changes uint64
+	mu    sync.RWMutex
+	hosts map[string]Host
+	// draining is the last draining backend server of each host.
+	draining map[string]Backend
+	changes  uint64
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	return &Directory{hosts: make(map[string]Host)}
+	return &Directory{hosts: make(map[string]Host), draining: make(map[string]Backend)}
 }
 
 // Merge stores a record if it is newer than the current one of its host, and reports
-// whether it did. A record without a name or an address is invalid and ignored.
+// whether the current one has changed. A record without a name or an address is invalid
+// and ignored.
 func (d *Directory) Merge(h Host) bool {
 	if h.Name == "" || h.Address == "" {
 		return false
@@ -90,20 +95,67 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current, ok := d.hosts[h.Name]
+	// A record of an earlier backend server can arrive late.
+	if h.Backend.State == Draining && h.Backend.Born >= d.draining[h.Name].Born {
+		d.draining[h.Name] = h.Backend
+	}
+	merged := h
 	if ok && !h.Newer(current) {
+		merged = current
+	}
+	merged.Backend = d.known(merged)
+	if ok && merged == current {
 		return false
 	}
-	d.hosts[h.Name] = h
+	d.hosts[h.Name] = merged
 	d.changes++
 	return true
 }
 
+// MarkDraining records that the backend server of a host, with a start time in Unix
+// milliseconds, is draining.
+func (d *Directory) MarkDraining(host, id string, born int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.hosts[host]
+	b := h.Backend
+	if b.ID != id || b.Born != born {
+		b = Backend{ID: id, Born: born}
+	}
+	b.State = Draining
+	d.draining[host] = b
+	if known := d.known(h); known != h.Backend && h.Name != "" {
+		h.Backend = known
+		d.hosts[host] = h
+		d.changes++
+	}
+}
+
+// known returns the backend server of a host, with what is known beyond its record: a node
+// that has restarted doesn't know that its backend server was draining, or knows none at
+// all. mu must be held.
+func (d *Directory) known(h Host) Backend {
+	draining, ok := d.draining[h.Name]
+	switch {
+	case !ok:
+		return h.Backend
+	case h.Backend.ID == "":
+		return draining
+	case h.Backend.ID == draining.ID && h.Backend.Born == draining.Born:
+		b := h.Backend
+		b.State = Draining
+		return b
+	}
+	return h.Backend
+}
+
 // Remove removes a host unless the directory holds a newer record than h.
 func (d *Directory) Remove(h Host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if current, ok := d.hosts[h.Name]; ok && !current.Newer(h) {
 		delete(d.hosts, h.Name)
+		delete(d.draining, h.Name)
 		d.changes++
 	}
 }
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -76,3 +76,36 @@
 	d.Remove(current)
 	is.Equal(len(d.Hosts()), 0)
 }
+
+// Guards against requests to a backend server that was draining, after a restart of the
+// node beside it that announces it as serving while the store is away.
+func TestRestartOfNodeDoesNotEndDraining(t *testing.T) {
+	for name, learn := range map[string]func(*fleet.Directory){
+		"from its record":                func(d *fleet.Directory) { d.Merge(host("a", 1, 2, fleet.Draining)) },
+		"from an older record":           func(d *fleet.Directory) { d.Merge(host("a", 0, 9, fleet.Draining)) },
+		"from an answer":                 func(d *fleet.Directory) { d.MarkDraining("a", "i-a", 0) },
+		"from its record and repeatedly": func(d *fleet.Directory) { d.Merge(host("a", 1, 3, fleet.Draining)); d.MarkDraining("a", "i-a", 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := fleet.NewDirectory()
+			d.Merge(host("a", 1, 1, fleet.Serving))
+			learn(d)
+			is.Equal(len(d.Serving("rounds")), 0)
+			started := host("a", 2, 1, fleet.Serving)
+			started.Backend = fleet.Backend{}
+			is.True(d.Merge(started))
+			known, _ := d.Host("a")
+			is.Equal(known.Backend.ID, "i-a") // a node that asks is told of its backend server
+			is.Equal(known.Backend.State, fleet.Draining)
+			is.True(d.Merge(host("a", 2, 2, fleet.Serving)))
+			is.Equal(len(d.Serving("rounds")), 0)
+			replaced := host("a", 2, 3, fleet.Serving)
+			replaced.Backend.Born = 1
+			is.True(d.Merge(replaced))
+			is.Equal(len(d.Serving("rounds")), 1)
+			is.True(!d.Merge(host("a", 1, 4, fleet.Draining))) // a late record of the replaced one
+			is.Equal(len(d.Serving("rounds")), 1)
+		})
+	}
+}
--- a/internal/process/sidecar/record.go
+++ b/internal/process/sidecar/record.go
@@ -156,12 +156,11 @@
 	return err
 }
 
-// mergeOwnRecord handles a received record of this host. If it is from an earlier
-// process, the state of the backend server is restored from it.
+// mergeOwnRecord handles a record of this host that another host or the store holds. It
+// may be from an earlier process, or tell what other hosts know of the backend server
+// from that time.
 func (n *Node) mergeOwnRecord(h fleet.Host) {
-	if h.Incarnation != n.record.Host().Incarnation {
-		n.backend.RestoreDraining(h.Backend)
-	}
+	n.backend.RestoreDraining(h.Backend)
 	n.record.supersede(h)
 }
 
--- a/internal/process/sidecar/router.go
+++ b/internal/process/sidecar/router.go
@@ -38,9 +38,9 @@
 	clock       clock.Clock
 
 	// mu guards the fields below.
-	mu         sync.Mutex
-	services   map[string]*serviceRouter
-	statements *fleet.Statements
+	mu            sync.Mutex
+	services      map[string]*serviceRouter
+	requestLimits *fleet.RequestLimits
 }
 
 // A serviceRouter balances the requests of one service over its hosts.
@@ -55,7 +55,7 @@
 func newRouter(host, zone string, d *fleet.Directory, c Connections, k clock.Clock) *router {
 	return &router{
 		host: host, zone: zone, directory: d, connections: c, clock: k,
-		services: make(map[string]*serviceRouter), statements: fleet.NewStatements(),
+		services: make(map[string]*serviceRouter), requestLimits: fleet.NewRequestLimits(),
 	}
 }
 
@@ -71,7 +71,7 @@
 		return relay.Target{}, refusal.New(refusal.NoBackendServer).WithRetryAfter(unreachableRetryAfter)
 	}
 	id := s.backends[node.Host]
-	return relay.Target{Host: node.Host, Backend: id, Status: r.statements.Status(node.Host, id)}, nil
+	return relay.Target{Host: node.Host, Backend: id, Status: r.requestLimits.Status(node.Host, id)}, nil
 }
 
 // Observe records the result of an attempt. It implements relay.Router.
@@ -100,7 +100,10 @@
 		}
 	}
 	if a.Load.Host != "" {
-		r.statements.Record(t.Host, a.Backend)
+		r.requestLimits.Record(t.Host, a.Backend)
+	}
+	if a.Backend.Status.Leaving {
+		r.directory.MarkDraining(t.Host, a.Backend.ID, a.Backend.Born)
 	}
 	s.router.Done(now, t.Host, result)
 }
