Leave the queue of a limited backend server after 50 ms

Cause: a request waited at a limited backend server for up to a quarter of its target, while others of the service had room. The load in the answers told only how long the oldest waits, not what the next one would wait for, so that senders came back.

Change: under a request limit a request waits for at most 50 ms and is then refused as not run, which costs the sender one more try elsewhere; the reported delay is that of a new request at the stated rate.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -165,7 +165,7 @@
 func (c *Controller) Load(now time.Time) Load {
 	return Load{
 		AdmittedImportance: c.admittedImportance,
-		QueueDelay:         c.queue.Delay(now),
+		QueueDelay:         max(c.queue.Delay(now), c.rate.wait(now, c.queue.Len()+1)),
 		Running:            len(c.running),
 		FreeSlots:          max(0, c.startable(now)-c.queue.Len()),
 		Waiting:            c.queue.Len(),
@@ -217,6 +217,9 @@
 }
 
 func (c *Controller) maxWait(r Request) time.Duration {
+	if c.rate.limited {
+		return max(minMaxWait, min(maxLimitedWait, time.Duration(c.maxWaitShare*float64(r.Target))))
+	}
 	return max(minMaxWait, time.Duration(c.maxWaitShare*float64(r.Target)))
 }
 
--- a/admission/request.go
+++ b/admission/request.go
@@ -87,7 +87,8 @@
 	// AdmittedImportance is the lowest importance currently admitted.
 	AdmittedImportance int
 	// QueueDelay is how long the oldest queued request of the highest queued
-	// importance has waited.
+	// importance has waited, or the time that a new one would wait because of a limit of
+	// requests per second, if that is longer.
 	QueueDelay time.Duration
 	// Running is the number of requests in the backend server.
 	Running int
--- a/admission/requestrate.go
+++ b/admission/requestrate.go
@@ -8,6 +8,9 @@
 const (
 	// requestBurstTime is the time whose share of a request limit may start at once.
 	requestBurstTime = 250 * time.Millisecond
+	// maxLimitedWait is the maximum wait at a backend server that limits its requests.
+	// Another one may have room at once.
+	maxLimitedWait = 50 * time.Millisecond
 	// minRequestRate, in requests per second, is used for lower limits, because only
 	// answers show that a limit has ended.
 	minRequestRate = 0.5
@@ -46,6 +49,15 @@
 	return min(most, int(r.tokens))
 }
 
+// wait returns the time until the given number of requests may have started.
+func (r *requestRate) wait(now time.Time, requests int) time.Duration {
+	if !r.limited {
+		return 0
+	}
+	r.available(now, 0)
+	return time.Duration(math.Max(0, float64(requests)-r.tokens) / r.perSecond * float64(time.Second))
+}
+
 // take uses up one request.
 func (r *requestRate) take() {
 	if r.limited {
