Name the request limit of a backend server in explanations

Cause: `bilberryvane explain` said of a refusal beside a backend server only how many requests ran there, which reads as a contradiction if slots were free. Change: the detail of the refusal is added, with a test that passes. Only the operator's tool; the node is unchanged.

--- a/internal/process/trail/explanation.go
+++ b/internal/process/trail/explanation.go
@@ -118,8 +118,12 @@
 		return fmt.Sprintf("Its time ran out without an answer from where it ran; the caller would have waited %s.", withDefault(l.text("patience"), "no longer"))
 	case refusal.Overloaded:
 		if l.text("at") == atExecuting {
-			return fmt.Sprintf("Service %s had no room: its backend server %s ran %s requests, and the queue in front of it was %s old.",
+			cause := fmt.Sprintf("Service %s had no room: its backend server %s ran %s requests, and the queue in front of it was %s old",
 				l.text("service"), l.text("backend-server"), l.text("running"), l.text("queue-delay"))
+			if detail := l.text("detail"); detail != "" {
+				cause += "; " + detail
+			}
+			return cause + "."
 		}
 		return "It was refused before any work was done: " + withDefault(l.text("detail"), "demand exceeded the capacity") + "."
 	case refusal.NoBackendServer, refusal.BackendLost, refusal.Leaving:
--- a/internal/process/trail/trail_test.go
+++ b/internal/process/trail/trail_test.go
@@ -56,6 +56,16 @@
 	is.True(!ok)
 }
 
+func TestExplainRequestLimitOfBackendServer(t *testing.T) {
+	is := is.New(t)
+	lg := read(t,
+		line("back-3", 25, 2000, `"at":"executing","request":"1f","service":"stock","backend-server":"i-3","reason":"overloaded","outcome":"not-run","running":2,"queue-delay":"80ms","detail":"its backend server accepts 22.1 requests per second at present"`),
+	)
+	s, ok := lg.Explain("1f")
+	is.True(ok)
+	is.True(strings.HasSuffix(s.Cause, "was 80ms old; its backend server accepts 22.1 requests per second at present."))
+}
+
 func TestExplainLostBackendServer(t *testing.T) {
 	is := is.New(t)
 	s, ok := read(t,
