Keep a known request limit when a restarted node refuses a request

What a backend server would see: a burst above its limit after a restart of the node beside it, if a request arrives before it has announced itself there.

Cause: the refusal of such a node carries no status, and its sender took that for the end of the limit. So the order that should tell the limit to the node no longer had it. Change: only an answer of the backend server ends a limit at the sender. In the directory, late answers of an earlier backend server are ignored as late records are.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -50,9 +50,10 @@
 
 // A Controller makes the admission decisions for one backend server. Its invariants:
 // it never starts a request that would exceed the limit, or the requests per second of
-// the capacity; no slot is idle while a request is queued, unless for that rate; and when a request is shed as overloaded, no request of lower
-// importance is queued, none was started since its arrival, and none is admitted
-// until the hold time has passed or a slot is idle with an empty queue.
+// the capacity; no slot is idle while a request is queued, unless because of that rate;
+// and when a request is shed as overloaded, no request of lower importance is queued,
+// none was started since its arrival, and none is admitted until the hold time has
+// passed or a slot is idle with an empty queue.
 type Controller struct {
 	limit        *Limit
 	rate         requestRate
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -95,9 +95,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current, ok := d.hosts[h.Name]
-	// A record of an earlier backend server can arrive late.
-	if h.Backend.State == Draining && h.Backend.Born >= d.draining[h.Name].Born {
-		d.draining[h.Name] = h.Backend
+	if h.Backend.State == Draining {
+		d.remember(h.Name, h.Backend)
 	}
 	merged := h
 	if ok && !h.Newer(current) {
@@ -123,7 +122,7 @@
 		b = Backend{ID: id, Born: born}
 	}
 	b.State = Draining
-	d.draining[host] = b
+	d.remember(host, b)
 	if known := d.known(h); known != h.Backend && h.Name != "" {
 		h.Backend = known
 		d.hosts[host] = h
@@ -131,6 +130,14 @@
 	}
 }
 
+// remember records a draining backend server of a host, unless it is an earlier one than
+// the last. Records and answers can arrive late. mu must be held.
+func (d *Directory) remember(host string, b Backend) {
+	if b.Born >= d.draining[host].Born {
+		d.draining[host] = b
+	}
+}
+
 // known returns the backend server of a host, with what is known beyond its record: a node
 // that has restarted doesn't know that its backend server was draining, or knows none at
 // all. mu must be held.
--- a/internal/process/fleet/requestlimits.go
+++ b/internal/process/fleet/requestlimits.go
@@ -14,13 +14,16 @@
 	return &RequestLimits{reports: make(map[string]exchange.BackendReport)}
 }
 
-// Record records the report that the node of a host has sent with an answer.
-func (l *RequestLimits) Record(host string, r exchange.BackendReport) {
-	if r.Status.Limited {
+// Record records the report that the node of a host has sent with an answer. answered
+// reports whether it is the answer of its backend server. If it is not, a report without a
+// limit doesn't end one, because a node that has restarted may not know of it.
+func (l *RequestLimits) Record(host string, r exchange.BackendReport, answered bool) {
+	switch {
+	case r.Status.Limited:
 		l.reports[host] = r
-		return
+	case answered:
+		delete(l.reports, host)
 	}
-	delete(l.reports, host)
 }
 
 // Status returns the last status of the backend server of a host, or zero if that has
--- a/internal/process/sidecar/router.go
+++ b/internal/process/sidecar/router.go
@@ -100,7 +100,7 @@
 		}
 	}
 	if a.Load.Host != "" {
-		r.requestLimits.Record(t.Host, a.Backend)
+		r.requestLimits.Record(t.Host, a.Backend, a.Refusal == nil)
 	}
 	if a.Backend.Status.Leaving {
 		r.directory.MarkDraining(t.Host, a.Backend.ID, a.Backend.Born)
