Let package quarantine serve other limits, separate sending strikes

New: Rumours gives a node that has restarted the strikes that others know, RefusedFor the time for which a request is still refused (its Retry-After), and the crashes recorded for one content are bounded (they grew without bound before: a request that crashed and was answered in turn added one for each crash).

Tests of package quarantine, and those of the node on crashes, pass.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -31,7 +31,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/ratelimit"
 	"github.com/bilberryvane/bilberryvane/internal/process/refusals"
 	"github.com/bilberryvane/bilberryvane/internal/process/settings"
-	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
+	"github.com/bilberryvane/bilberryvane/internal/process/strikes"
 	"github.com/bilberryvane/bilberryvane/internal/process/withdrawal"
 	"github.com/bilberryvane/bilberryvane/internal/request/registry"
 )
@@ -63,7 +63,7 @@
 	registry          *registry.Registry
 	backend           *backend.Client
 	admission         *admitter.Admitter
-	strikeBroadcaster *suspects.Broadcaster
+	strikeBroadcaster *strikes.Broadcaster
 	membership        *membership.Membership
 	directory         *directory.Directory
 	ownership         *ownership.Service
--- a/internal/process/node/setup.go
+++ b/internal/process/node/setup.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"time"
@@ -19,12 +20,14 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/pressure"
 	"github.com/bilberryvane/bilberryvane/internal/process/retries"
 	"github.com/bilberryvane/bilberryvane/internal/process/router"
+	"github.com/bilberryvane/bilberryvane/internal/process/strikes"
 	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/entry"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 	"github.com/bilberryvane/bilberryvane/internal/request/execute"
 	"github.com/bilberryvane/bilberryvane/internal/request/forward"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 // listenPeers opens the peer endpoint.
@@ -88,10 +91,15 @@
 	n.directory = directory.New(n.membership)
 	n.setUpConfiguration()
 	n.admission = admitter.New(host.Name, newClassTargets(n.configuration), n.clock)
-	n.strikeBroadcaster = suspects.NewBroadcaster(host.Name, n.membership, n.endpoint)
-	filter := suspects.NewFilter(host.Name, n.membership.Self().Incarnation, n.strikeBroadcaster, n.strikeBroadcaster, n.clock, n.log)
-	n.endpoint.Handle(suspects.KindStrikes, filter.HandleStrikes)
-	n.strikeBroadcaster.Subscribe(filter.HandleRumour)
+	n.strikeBroadcaster = strikes.NewBroadcaster(host.Name, n.membership, n.endpoint)
+	list := quarantine.NewList(host.Name, n.membership.Self().Incarnation)
+	filter := suspects.NewFilter(host.Name, list, n.strikeBroadcaster, n.clock, n.log, suspects.WithHosts(n.strikeBroadcaster))
+	n.endpoint.Handle(strikes.KindStrikes, func(_ context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+		return nil, filter.Decode(body)
+	})
+	n.strikeBroadcaster.Subscribe(func(payload []byte) {
+		_ = filter.Decode(payload) // Ignore rumours that can't be decoded.
+	})
 	n.setUpOwnership()
 	executor := execute.New(execute.Deps{
 		Host:       host.Name,
--- a/internal/process/suspects/broadcast.go
+++ b/internal/process/strikes/strikes.go
@@ -1,4 +1,6 @@
-package suspects
+// Package strikes sends the strikes of requests that crash backend servers to other nodes and
+// receives theirs. Package suspects decides with them; package membership gossips them.
+package strikes
 
 import (
 	"context"
--- a/internal/process/suspects/suspects.go
+++ b/internal/process/suspects/suspects.go
@@ -1,6 +1,6 @@
 // Package suspects limits requests that crash backend servers. Package quarantine
-// decides which requests may run. This package adds the locking, queues suspects until
-// they may run, and exchanges strikes with other nodes.
+// decides which requests may run. This package adds the locking and queues suspects until
+// they may run. Packages strikes and mesh exchange strikes with other nodes.
 package suspects
 
 import (
@@ -12,7 +12,6 @@
 	"github.com/apex/log"
 
 	"github.com/bilberryvane/bilberryvane/internal/connection/codec"
-	"github.com/bilberryvane/bilberryvane/internal/connection/peer"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
@@ -39,6 +38,7 @@
 // A Filter limits suspects on one node. It is safe for concurrent use.
 type Filter struct {
 	host      string
+	// hosts is nil if suspects may run on any host.
 	hosts     HostLister
 	publisher Publisher
 	clock     clock.Clock
@@ -52,12 +52,20 @@
 	changed chan struct{}
 }
 
-// NewFilter returns a Filter without strikes.
-func NewFilter(host string, incarnation uint64, h HostLister, p Publisher, c clock.Clock, l event.Log) *Filter {
-	return &Filter{
-		host: host, hosts: h, publisher: p, clock: c, log: l,
-		list: quarantine.NewList(host, incarnation), changed: make(chan struct{}),
+// An Option configures a Filter.
+type Option func(*Filter)
+
+// WithHosts makes a suspect run only on the host that quarantine.HostFor picks of those that
+// offer its service. Without this option it may run on any host.
+func WithHosts(h HostLister) Option { return func(f *Filter) { f.hosts = h } }
+
+// NewFilter returns a Filter without strikes whose decisions list makes.
+func NewFilter(host string, list *quarantine.List, p Publisher, c clock.Clock, l event.Log, options ...Option) *Filter {
+	f := &Filter{host: host, publisher: p, clock: c, log: l, list: list, changed: make(chan struct{})}
+	for _, o := range options {
+		o(f)
 	}
+	return f
 }
 
 // SuspectHost returns the host on which a suspect must run, empty if there are no hosts.
@@ -72,12 +80,14 @@
 	return quarantine.HostFor(p, hosts), true
 }
 
-// Check admits a request. A suspect is admitted only on the host returned by SuspectHost
-// and waits until no other suspect runs. The error is a refusal.
+// Check admits a request. With WithHosts, a suspect is admitted only on the host returned by
+// SuspectHost. It waits while the list lets no further suspect run. The error is a refusal.
 func (f *Filter) Check(ctx context.Context, c call.Context) (execute.Tracker, error) {
 	p := fingerprintOf(c)
-	if host, ok := f.SuspectHost(c, f.hosts.HostsOf(c.Service)); ok && host != f.host {
-		return nil, refusal.New(refusal.Quarantined).WithRetryAfter(retryAfter)
+	if f.hosts != nil {
+		if host, ok := f.SuspectHost(c, f.hosts.HostsOf(c.Service)); ok && host != f.host {
+			return nil, refusal.New(refusal.Quarantined).WithRetryAfter(retryAfter)
+		}
 	}
 	for {
 		id, decision, changed := f.admit(p)
@@ -85,7 +95,7 @@
 		case quarantine.Run:
 			return &tracker{filter: f, id: id, service: c.Service, fingerprint: p}, nil
 		case quarantine.Quarantined:
-			return nil, refusal.New(refusal.Quarantined)
+			return nil, f.refuse(p)
 		}
 		select {
 		case <-changed:
@@ -95,28 +105,39 @@
 	}
 }
 
-// HandleStrikes handles a message of KindStrikes.
-func (f *Filter) HandleStrikes(_ context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-	return nil, f.merge(body)
-}
-
-// HandleRumour applies the strikes and clearances of a rumour.
-func (f *Filter) HandleRumour(payload []byte) {
-	_ = f.merge(payload) // Ignore rumours that can't be decoded.
+// refuse returns the refusal of requests with too many strikes. Its retry delay is the time
+// until the strikes expire.
+func (f *Filter) refuse(p quarantine.Fingerprint) refusal.Refusal {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return refusal.New(refusal.Quarantined).WithRetryAfter(f.list.RefusedFor(f.clock.Now(), p))
 }
 
-func (f *Filter) merge(payload []byte) error {
+// Decode applies strikes and clearances that Publisher implementations have encoded.
+func (f *Filter) Decode(payload []byte) error {
 	var rumours []quarantine.Rumour
 	if err := codec.Decoder.Unmarshal(payload, &rumours); err != nil {
 		return fmt.Errorf("decode strikes: %w", err)
 	}
+	f.Merge(rumours)
+	return nil
+}
+
+// Merge applies the strikes and clearances of other nodes.
+func (f *Filter) Merge(rumours []quarantine.Rumour) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range rumours {
 		f.list.Merge(f.clock.Now(), r)
 	}
 	f.notifyWaiters()
-	return nil
+}
+
+// Rumours returns the strikes that a node which has restarted needs, at most limit.
+func (f *Filter) Rumours(limit int) []quarantine.Rumour {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list.Rumours(f.clock.Now(), limit)
 }
 
 func (f *Filter) admit(p quarantine.Fingerprint) (uint64, quarantine.Decision, <-chan struct{}) {
@@ -178,7 +199,7 @@
 	case quarantine.Busy:
 		return refusal.New(refusal.Quarantined).WithRetryAfter(retryAfter)
 	default:
-		return refusal.New(refusal.Quarantined)
+		return t.filter.refuse(t.fingerprint)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package quarantine limits requests that crash backend servers. A request that is in
 // flight when a backend server crashes gets a strike. A request with one strike is a
-// suspect: it runs on one host only, and one suspect at a time. A request with two
-// strikes is refused. Strikes and clearances are sent to other nodes as rumours.
+// suspect: it runs on one host only, and one suspect at a time, unless the List is
+// configured otherwise. A request with as many strikes as the limit is refused. Strikes and
+// clearances are sent to other nodes as rumours.
 //
 // A List is deterministic and has no lock. The caller provides the locking and the
 // time, and sends the returned rumours. Package admission handles all other requests.
@@ -17,7 +18,7 @@
 )
 
 const (
-	// StrikeLimit is the number of strikes at which a request is refused.
+	// StrikeLimit is the default number of strikes at which a request is refused.
 	StrikeLimit = 2
 	// DefaultRetention is the default time for which strikes and clearances are kept.
 	DefaultRetention = time.Hour
@@ -25,6 +26,8 @@
 	MaxFingerprints = 4096
 	// maxAnswered is the maximum number of fingerprints recorded as answered.
 	maxAnswered = 4096
+	// maxCrashes is the maximum number of crashes recorded for one fingerprint.
+	maxCrashes = 16
 )
 
 // A Fingerprint identifies equal requests of one client account.
@@ -106,9 +109,15 @@
 // WithRetention sets how long strikes and clearances are kept.
 func WithRetention(d time.Duration) Option { return func(l *List) { l.retention = d } }
 
+// WithStrikeLimit sets the number of strikes at which a request is refused.
+func WithStrikeLimit(n int) Option { return func(l *List) { l.strikeLimit = n } }
+
+// WithConcurrentSuspects lets suspects run like other requests, also several at a time.
+func WithConcurrentSuspects() Option { return func(l *List) { l.concurrentSuspects = true } }
+
 // A List contains the strikes of all nodes as known to one node. Its invariants are:
-// a request with StrikeLimit strikes is not started on this node; the backend server
-// never runs two suspects at the same time; a request that was answered has no strike
+// a request with as many strikes as the limit is not started on this node; the backend server
+// never runs two suspects at the same time, unless that is allowed; a request that was answered has no strike
 // from an earlier crash and gets none for the next crash on this node.
 //
 // A poison request that was never answered crashes at most as many backend servers as it
@@ -119,6 +128,9 @@
 	host        string
 	incarnation uint64
 	retention   time.Duration
+	strikeLimit int
+	// concurrentSuspects reports that suspects may run at the same time.
+	concurrentSuspects bool
 	// crashes is the number of crashes of the backend server observed by this node.
 	crashes  uint64
 	records  map[Fingerprint]*record
@@ -146,6 +158,21 @@
 	return count
 }
 
+// makeRoom makes room for one more crash by forgetting one whose strike was cleared, and
+// reports whether there is room.
+func (r *record) makeRoom() bool {
+	if len(r.strikes) < maxCrashes {
+		return true
+	}
+	for _, crash := range slices.SortedFunc(maps.Keys(r.strikes), compareCrashes) {
+		if r.strikes[crash] {
+			delete(r.strikes, crash)
+			return true
+		}
+	}
+	return false
+}
+
 // A request is a request that was admitted and has not finished.
 type request struct {
 	fingerprint Fingerprint
@@ -157,7 +184,7 @@
 // NewList returns an empty List for a node.
 func NewList(host string, incarnation uint64, options ...Option) *List {
 	l := &List{
-		host: host, incarnation: incarnation, retention: DefaultRetention,
+		host: host, incarnation: incarnation, retention: DefaultRetention, strikeLimit: StrikeLimit,
 		records: make(map[Fingerprint]*record), inFlight: make(map[uint64]*request),
 		answered: newRecentSet(maxAnswered),
 	}
@@ -177,6 +204,41 @@
 	return r.uncleared()
 }
 
+// RefusedFor returns how long a fingerprint with too many strikes is still refused, if no
+// further strike is added; zero for others.
+func (l *List) RefusedFor(now time.Time, f Fingerprint) time.Duration {
+	if l.Strikes(now, f) < l.strikeLimit {
+		return 0
+	}
+	return l.records[f].expires.Sub(now)
+}
+
+// Rumours returns rumours of the strikes that are neither cleared nor expired, those of the
+// fingerprints with the most strikes first, at most limit.
+func (l *List) Rumours(now time.Time, limit int) []Rumour {
+	struck := make([]Fingerprint, 0, len(l.records))
+	for f := range l.records {
+		if l.Strikes(now, f) > 0 {
+			struck = append(struck, f)
+		}
+	}
+	slices.SortFunc(struck, func(a, b Fingerprint) int {
+		return cmp.Or(
+			cmp.Compare(l.records[b].uncleared(), l.records[a].uncleared()),
+			cmp.Compare(a.Account, b.Account), cmp.Compare(a.Hash, b.Hash),
+		)
+	})
+	var rumours []Rumour
+	for _, f := range struck {
+		for _, crash := range slices.SortedFunc(maps.Keys(l.records[f].strikes), compareCrashes) {
+			if !l.records[f].strikes[crash] && len(rumours) < limit {
+				rumours = append(rumours, Rumour{Fingerprint: f, Crash: crash})
+			}
+		}
+	}
+	return rumours
+}
+
 // Admit registers a request before it is queued for a slot. A suspect that may run
 // excludes other suspects until it finishes. Only a request with the decision Run is
 // registered, and only for such a request must the caller call Finish.
@@ -250,7 +312,7 @@
 		l.records[m.Fingerprint] = r
 	}
 	cleared, known := r.strikes[m.Crash]
-	if known && (cleared || !m.Cleared) {
+	if known && (cleared || !m.Cleared) || !known && !r.makeRoom() {
 		return false
 	}
 	r.strikes[m.Crash] = m.Cleared
@@ -262,10 +324,10 @@
 // is none.
 func (l *List) decide(now time.Time, q *request) Decision {
 	switch strikes := l.Strikes(now, q.fingerprint); {
-	case strikes == 0 || l.runningSuspect == q && strikes < StrikeLimit:
-		return Run
-	case strikes >= StrikeLimit:
+	case strikes >= l.strikeLimit:
 		return Quarantined
+	case strikes == 0 || l.concurrentSuspects || l.runningSuspect == q:
+		return Run
 	case l.runningSuspect != nil:
 		return Busy
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -199,3 +199,62 @@
 	list.Start(start, 3)
 	is.Equal(len(list.Finish(start, 3, quarantine.ConnectionBroken)), 1) // exempt from the first crash only
 }
+
+// With a higher limit and concurrent suspects, requests are refused at the limit only.
+func TestStrikeLimitAndConcurrentSuspects(t *testing.T) {
+	is := is.New(t)
+	list := quarantine.NewList("a", 1, quarantine.WithStrikeLimit(3), quarantine.WithConcurrentSuspects())
+	for i := range 2 {
+		list.Merge(start, quarantine.Rumour{Fingerprint: fingerprint(1), Crash: quarantine.Crash{Host: "b", Number: uint64(i)}})
+		list.Merge(start, quarantine.Rumour{Fingerprint: fingerprint(2), Crash: quarantine.Crash{Host: "b", Number: uint64(i)}})
+	}
+	is.Equal(list.Admit(start, 1, fingerprint(1)), quarantine.Run)
+	is.Equal(list.Admit(start, 2, fingerprint(2)), quarantine.Run)
+	is.Equal(list.Start(start, 1), quarantine.Run)
+	is.Equal(list.Start(start, 2), quarantine.Run)
+	is.Equal(list.RefusedFor(start, fingerprint(1)), time.Duration(0))
+	is.Equal(len(list.Finish(start, 1, quarantine.ConnectionBroken)), 1)
+	is.Equal(len(list.Finish(start, 2, quarantine.Answered)), 2) // clears both strikes
+	is.Equal(list.Admit(start, 3, fingerprint(1)), quarantine.Quarantined)
+	is.Equal(list.Admit(start, 4, fingerprint(2)), quarantine.Run)
+	is.Equal(list.RefusedFor(start.Add(time.Minute), fingerprint(1)), quarantine.DefaultRetention-time.Minute)
+	is.Equal(list.Rumours(start.Add(quarantine.DefaultRetention), 10), nil) // all have expired
+}
+
+// A node that has restarted knows the strikes of others again, those with the most first.
+func TestRumoursRestoreStrikes(t *testing.T) {
+	is := is.New(t)
+	list := quarantine.NewList("a", 1, quarantine.WithStrikeLimit(3))
+	for i := range 3 {
+		for j := range i + 1 {
+			list.Merge(start, quarantine.Rumour{Fingerprint: fingerprint(i), Crash: quarantine.Crash{Host: "b", Number: uint64(j)}})
+		}
+	}
+	restarted := quarantine.NewList("a", 2, quarantine.WithStrikeLimit(3))
+	for _, r := range list.Rumours(start, 5) {
+		restarted.Merge(start, r)
+	}
+	is.Equal(restarted.Strikes(start, fingerprint(2)), 3)
+	is.Equal(restarted.Strikes(start, fingerprint(1)), 2)
+	is.Equal(restarted.Strikes(start, fingerprint(0)), 0) // beyond the limit of five rumours
+}
+
+// The crashes recorded for one fingerprint are bounded, and cleared strikes make room.
+func TestRecordedCrashesAreBounded(t *testing.T) {
+	is := is.New(t)
+	list := quarantine.NewList("a", 1)
+	strike := func(i int, cleared bool) bool {
+		return list.Merge(start, quarantine.Rumour{
+			Fingerprint: fingerprint(1), Crash: quarantine.Crash{Host: "b", Number: uint64(i)}, Cleared: cleared,
+		})
+	}
+	for i := range 1000 {
+		strike(i, false)
+	}
+	kept := list.Strikes(start, fingerprint(1))
+	is.True(kept < 100)
+	is.True(strike(0, true))
+	is.Equal(list.Strikes(start, fingerprint(1)), kept-1)
+	is.True(strike(2000, false))
+	is.Equal(list.Strikes(start, fingerprint(1)), kept)
+}
