Hold back requests that have crashed three backend servers

Cause: the node on the users' platform judged each request by itself. Package quarantine, which compares requests by content, was wired to the node of our own interface only (docs/PROMISES.md and docs/design/platform.md said so). A lost connection looks the same after a crash, a reset and a lost answer.

Change: the entry node hashes service, method, path and body; with the client account (none for calls, which are made again for other accounts) this is what package quarantine counts by. The node beside the backend server checks before admission and again before sending. A lost connection counts as a crash only if the backend server refuses a new connection right after it; one probe serves all requests lost before it. Strikes go to the hosts of the same service, at once, and to each on a new connection, so a restarted node has them again. At three strikes, the number that the platform allows, the request is refused as not run, with the time until the strikes expire as Retry-After, and the sender tries no other host. Suspects with fewer strikes run like other requests: running them one at a time, as the other node does, would delay all that was in flight beside the crash.

--- a/internal/connection/backend/link.go
+++ b/internal/connection/backend/link.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +23,8 @@
 	// read. A longer body is written concurrently, because a backend server may respond
 	// before it has read the whole body.
 	maxInlineBodyBytes = 4 << 10
+	// probeTimeout bounds a probe. The backend server runs on the same host.
+	probeTimeout = 100 * time.Millisecond
 	// minCheckedIdle is the idle time from which a connection is checked before reuse.
 	// The check costs a system call.
 	minCheckedIdle = 20 * time.Millisecond
@@ -51,6 +55,11 @@
 type Link struct {
 	pool  *pool
 	clock clock.Clock
+
+	// probing guards the result of the last probe, which began at probedAt.
+	probing  sync.Mutex
+	probedAt time.Time
+	refused  bool
 }
 
 // NewLink returns a Link to a backend server's address with at most the given number of
@@ -66,6 +75,25 @@
 // BufferedBytes returns the bytes of incomplete answers that are held.
 func (l *Link) BufferedBytes() int64 { return l.pool.buffered.bytes.Load() }
 
+// Refuses reports whether the backend server refuses connections at some time after since.
+// After a connection broke, this tells a process that has ended from a lost answer or a
+// reset. One probe serves all requests whose connections broke before it.
+func (l *Link) Refuses(ctx context.Context, since time.Time) bool {
+	l.probing.Lock()
+	defer l.probing.Unlock()
+	if l.probedAt.After(since) {
+		return l.refused
+	}
+	started := l.clock.Now()
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", l.pool.address)
+	if err == nil {
+		conn.Close()
+	}
+	l.probedAt, l.refused = started, errors.Is(err, syscall.ECONNREFUSED)
+	return l.refused
+}
+
 // Close closes the idle connections. Those in use are closed after their request.
 func (l *Link) Close() { l.pool.close() }
 
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -10,7 +10,7 @@
 	NodeStopped      = define(1002, "node-stopped", log.InfoLevel, "The node has stopped with no requests in flight.")
 	StartFailed      = define(1003, "start-failed", log.ErrorLevel, "The node could not start; the error gives the reason.")
 	WorkerPanic      = define(1004, "worker-panic", log.ErrorLevel, "A task panicked; its request was answered with outcome unknown.")
-	RequestStruck    = define(2100, "request-struck", log.WarnLevel, "The backend server was lost while it ran a request, which is now a suspect; a request with two strikes is refused.")
+	RequestStruck    = define(2100, "request-struck", log.WarnLevel, "The backend server was lost while it ran a request, which is now a suspect; a request with too many strikes is refused.")
 	RequestCleared   = define(2101, "request-cleared", log.InfoLevel, "A suspect request was answered and is no longer a suspect.")
 	StrikesNotSpread = define(2149, "strikes-not-spread", log.WarnLevel, "Strikes against a request could not be spread by gossip; hosts of its service were notified.")
 	RequestRefused   = define(2000, "request-refused", log.InfoLevel, "A request was refused; reason, class and outcome are given.")
--- a/internal/process/mesh/exchange.go
+++ b/internal/process/mesh/exchange.go
@@ -49,6 +49,7 @@
 // version of the configuration is announced at once.
 func (m *Mesh) exchange() {
 	m.announceRecord()
+	m.sendStrikes()
 	now, version := m.clock.Now(), m.delegate.ConfigurationVersion()
 	due := now.Sub(m.schedule.lastRound) >= noticeInterval
 	changed := version != m.schedule.version
@@ -217,6 +218,9 @@
 	if n.Watching {
 		m.markCovered(n.Host.Name)
 	}
+	if len(n.Strikes) > 0 {
+		m.delegate.HandleStrikes(n.Strikes)
+	}
 	m.handleLoads(n)
 }
 
--- a/internal/process/mesh/link.go
+++ b/internal/process/mesh/link.go
@@ -52,6 +52,9 @@
 	// sentRecord is the last record of the own host that was sent. Only the goroutine
 	// that sends notices accesses it.
 	sentRecord fleet.Host
+	// sentStrikes reports that the known strikes were sent when the service of the peer was
+	// first known. It is accessed like sentRecord.
+	sentStrikes bool
 }
 
 // A dialState tracks the attempts to dial a host.
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -25,6 +25,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/zoneload"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 	"github.com/bilberryvane/bilberryvane/internal/request/relay"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 const (
@@ -66,6 +67,10 @@
 	Lend(l Loan) LoanReply
 	// HandleReturned puts one request back into this host's share of an account's rate.
 	HandleReturned(account string)
+	// Strikes returns the known strikes of requests that crash backend servers, and
+	// HandleStrikes handles those that another host knows.
+	Strikes() []quarantine.Rumour
+	HandleStrikes(strikes []quarantine.Rumour)
 	// Report returns the load report of this host.
 	Report() admission.HostReport
 	// HandleReport records the load report of another host.
@@ -107,6 +112,8 @@
 	askedHosts bool
 	// coveredAt is when another host of the zone last stated that it reads them.
 	coveredAt time.Time
+	// strikes are to be sent to the hosts of the own service.
+	strikes []quarantine.Rumour
 	// fetching is set while a configuration is fetched from another node.
 	fetching bool
 }
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -23,6 +23,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 	"github.com/bilberryvane/bilberryvane/internal/request/relay"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 const testTimeout = 20 * time.Second
@@ -61,10 +62,12 @@
 	n.mesh.TriggerNotices()
 }
 
-func (n *node) Demand() map[string]float64              { return nil }
-func (n *node) HandleDemand(string, map[string]float64) {}
-func (n *node) HandleKnownHosts()                       {}
-func (n *node) HandleOwnRecord(fleet.Host)              {}
+func (n *node) Demand() map[string]float64                { return nil }
+func (n *node) HandleDemand(string, map[string]float64)   {}
+func (n *node) Strikes() []quarantine.Rumour              { return nil }
+func (n *node) HandleStrikes(strikes []quarantine.Rumour) {}
+func (n *node) HandleKnownHosts()                         {}
+func (n *node) HandleOwnRecord(fleet.Host)                {}
 func (n *node) Lend(l mesh.Loan) mesh.LoanReply {
 	return mesh.LoanReply{Granted: l.Account == "depot", RetryAfter: time.Second}
 }
--- a/internal/process/mesh/notice.go
+++ b/internal/process/mesh/notice.go
@@ -7,6 +7,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
 	"github.com/bilberryvane/bilberryvane/internal/process/zoneload"
 	"github.com/bilberryvane/bilberryvane/internal/request/relay"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 // ProtocolVersion is the version of the protocol between nodes. Notices of another
@@ -77,4 +78,7 @@
 	// Watching reports that the sender carries the summary of its zone and reads new
 	// configurations from the store.
 	Watching bool `cbor:"11,keyasint,omitempty"`
+	// Strikes are those of requests that crash backend servers of the service that both
+	// hosts offer.
+	Strikes []quarantine.Rumour `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/process/sidecar/router.go
+++ b/internal/process/sidecar/router.go
@@ -94,7 +94,7 @@
 	if a.Refusal != nil {
 		reason := a.Refusal.Reason
 		result.Failed = lost || reason == refusal.BackendLost || reason == refusal.NoBackendServer
-		result.Shed = !result.Failed
+		result.Shed = !result.Failed && reason != refusal.Quarantined
 		if reason == refusal.Leaving {
 			s.router.SetLeaving(t.Host)
 		}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -24,9 +24,11 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
 	"github.com/bilberryvane/bilberryvane/internal/process/mesh"
 	"github.com/bilberryvane/bilberryvane/internal/process/quota"
+	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
 	"github.com/bilberryvane/bilberryvane/internal/process/zoneload"
 	"github.com/bilberryvane/bilberryvane/internal/request/relay"
 	"github.com/bilberryvane/bilberryvane/internal/version/traffic"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 const (
@@ -39,6 +41,11 @@
 	// long, because a starting node finds the other hosts in the table and notifies
 	// all of them.
 	hostsPollInterval = 20 * time.Second
+	// strikeLimit is the number of backend servers that a request may crash before it is
+	// held back. It is the number that the users' platform allows.
+	strikeLimit = 3
+	// maxSentStrikes bounds the strikes that are sent to a node that has restarted.
+	maxSentStrikes = 512
 	// maxBackendConnections limits the connections to the backend server. It is above
 	// the slot counts of the backend servers that the node is designed for.
 	maxBackendConnections = 512
@@ -79,6 +86,7 @@
 	planner       *demand.Planner
 	backend       *backendserver.Server
 	admission     *admitter.Admitter
+	suspects      *suspects.Filter
 	counters      *counters
 	loads         *zoneload.Collector
 	mesh          *mesh.Mesh
@@ -135,8 +143,11 @@
 // listen opens the listeners, the one for callers last.
 func (n *Node) listen() error {
 	running := relay.NewRunningRequests()
+	strikes := quarantine.NewList(n.settings.Name, uint64(n.record.Host().Incarnation),
+		quarantine.WithStrikeLimit(strikeLimit), quarantine.WithConcurrentSuspects())
+	n.suspects = suspects.NewFilter(n.settings.Name, strikes, strikePublisher{n}, n.clock, n.log)
 	executor := relay.NewExecutor(relay.ExecutorDeps{
-		Host: n.settings.Name, BackendServer: n.backend, Admission: n.admission, Running: running, Usage: n.planner,
+		Host: n.settings.Name, BackendServer: n.backend, Quarantine: n.suspects, Admission: n.admission, Running: running, Usage: n.planner,
 		Dialect: n.deps.Dialect, Clock: n.clock, Log: n.log,
 	})
 	var err error
@@ -308,6 +319,15 @@
 	}
 }
 
+// A strikePublisher publishes strikes over the mesh, which is created after the parts that
+// publish them.
+type strikePublisher struct{ node *Node }
+
+// Publish sends strikes to the other hosts of the service.
+func (p strikePublisher) Publish(service string, strikes []quarantine.Rumour) error {
+	return p.node.mesh.Publish(service, strikes)
+}
+
 // A meshDelegate provides the state that the node sends to its peers and handles what
 // they send. It implements mesh.Delegate.
 type meshDelegate struct{ node *Node }
@@ -325,6 +345,12 @@
 	d.node.configuration.adopt(content, host)
 }
 
+// Strikes returns the known strikes of requests that crash backend servers.
+func (d meshDelegate) Strikes() []quarantine.Rumour { return d.node.suspects.Rumours(maxSentStrikes) }
+
+// HandleStrikes applies the strikes that another host knows.
+func (d meshDelegate) HandleStrikes(strikes []quarantine.Rumour) { d.node.suspects.Merge(strikes) }
+
 // Demand returns the recent requests per second by client account.
 func (d meshDelegate) Demand() map[string]float64 { return d.node.quota.Demand() }
 
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -91,6 +91,12 @@
 	return c
 }
 
+// WithAccount returns the context with another client account.
+func (c Context) WithAccount(account string) Context {
+	c.Account = account
+	return c
+}
+
 // WithContentHash returns the context with the hash of the requested work.
 func (c Context) WithContentHash(hash uint64) Context {
 	c.ContentHash = hash
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -16,6 +16,7 @@
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
 	"github.com/bilberryvane/bilberryvane/internal/version/class"
 	"github.com/bilberryvane/bilberryvane/internal/version/traffic"
+	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 const (
@@ -185,6 +186,8 @@
 		Route:     route.Name,
 	}
 	o.Context.Service = pickService(route.Destinations)
+	content := quarantine.FingerprintOf(o.Context.Account, o.Context.Service, o.Method, o.URI, o.Body)
+	o.Context = o.Context.WithContentHash(content.Hash)
 	return o, route, nil
 }
 
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -15,7 +15,6 @@
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 	"github.com/bilberryvane/bilberryvane/internal/request/execute"
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
-	"github.com/bilberryvane/bilberryvane/quarantine"
 )
 
 // minRemaining is the least remaining time with which a request is sent to the backend
@@ -56,6 +55,7 @@
 type Executor struct {
 	host          string
 	backendServer BackendServer
+	quarantine    execute.Quarantine
 	admission     execute.Admission
 	running       *RunningRequests
 	usage         UsageRecorder
@@ -68,7 +68,9 @@
 type ExecutorDeps struct {
 	Host          string
 	BackendServer BackendServer
-	Admission     execute.Admission
+	// Quarantine refuses requests that crash backend servers.
+	Quarantine execute.Quarantine
+	Admission  execute.Admission
 	Running       *RunningRequests
 	Usage         UsageRecorder
 	Dialect       Dialect
@@ -79,7 +81,7 @@
 // NewExecutor returns the Executor of a host.
 func NewExecutor(d ExecutorDeps) *Executor {
 	return &Executor{
-		host: d.Host, backendServer: d.BackendServer, admission: d.Admission,
+		host: d.Host, backendServer: d.BackendServer, quarantine: d.Quarantine, admission: d.Admission,
 		running: d.Running, usage: d.Usage, dialect: d.Dialect, clock: d.Clock, log: d.Log,
 	}
 }
@@ -118,11 +120,21 @@
 	if _, _, err := x.ready(o); err != nil {
 		return execute.Result{Answer: refusalAnswer(err)}
 	}
+	tracker, err := x.quarantine.Check(ctx, o.subject())
+	if err != nil {
+		return execute.Result{Answer: refusalAnswer(err)}
+	}
+	result := x.admitAndSend(ctx, o, tracker)
+	tracker.Finish(result)
+	return result
+}
+
+func (x *Executor) admitAndSend(ctx context.Context, o Order, tracker execute.Tracker) execute.Result {
 	done, err := x.admit(ctx, o.Context)
 	if err != nil {
 		return execute.Result{Answer: refusalAnswer(err)}
 	}
-	result := x.sendToBackend(ctx, o)
+	result := x.sendToBackend(ctx, o, tracker)
 	done(result)
 	return result
 }
@@ -150,7 +162,7 @@
 // sendToBackend sends an admitted request to the backend server. It checks again that
 // the backend server is ready, because that may have changed while the request was
 // queued.
-func (x *Executor) sendToBackend(ctx context.Context, o Order) execute.Result {
+func (x *Executor) sendToBackend(ctx context.Context, o Order, tracker execute.Tracker) execute.Result {
 	id, link, err := x.ready(o)
 	if err != nil {
 		return execute.Result{Answer: refusalAnswer(err)}
@@ -159,6 +171,9 @@
 	if remaining < minRemaining || ctx.Err() != nil {
 		return execute.Result{Answer: exchange.Refused(refusal.New(refusal.DeadlinePassed))}
 	}
+	if err := tracker.Start(); err != nil {
+		return execute.Result{Answer: refusalAnswer(err)}
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
@@ -183,9 +198,10 @@
 	}
 	if err != nil {
 		result := x.exchangeError(ctx, id, err)
-		if result.Crashed {
+		if lostByBackend(result) {
+			result.Crashed = link.Refuses(ctx, x.clock.Now())
 			x.log.Emit(event.RequestLost, log.Fields{
-				"request": o.Context.RequestID, "account": o.Context.Account, "content": contentOf(o).Hash,
+				"request": o.Context.RequestID, "account": o.Context.Account, "content": o.Context.ContentHash, "crashed": result.Crashed,
 				"service": o.Context.Service, "backend-server": id, "retried": o.Context.Retried, "error": err.Error(),
 			})
 		}
@@ -194,9 +210,9 @@
 	return x.resultOf(id, kind, response)
 }
 
-// contentOf returns what requests with the same effect on a backend server have in common.
-func contentOf(o Order) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(o.Context.Account, o.Context.Service, o.Method, o.URI, o.Body)
+// lostByBackend reports whether the backend server broke the connection of a request.
+func lostByBackend(r execute.Result) bool {
+	return r.Answer.Refusal != nil && r.Answer.Refusal.Reason == refusal.BackendLost
 }
 
 func (x *Executor) resultOf(id string, k ResponseKind, response *fasthttp.Response) execute.Result {
@@ -233,7 +249,7 @@
 		reason = refusal.Cancelled
 	}
 	r := refusal.New(reason).WithOutcome(refusal.Unknown).WithDetail(err.Error())
-	return execute.Result{Answer: exchange.Refused(r), Sent: true, Crashed: reason == refusal.BackendLost}
+	return execute.Result{Answer: exchange.Refused(r), Sent: true}
 }
 
 func toAnswer(response *fasthttp.Response) exchange.Answer {
--- a/internal/request/relay/order.go
+++ b/internal/request/relay/order.go
@@ -38,6 +38,15 @@
 	Status exchange.BackendStatus `cbor:"10,keyasint,omitzero"`
 }
 
+// subject returns the context by which package quarantine recognizes the request when it is
+// sent again. A call can be made again for another client account.
+func (o Order) subject() call.Context {
+	if o.Context.Depth > 0 {
+		return o.Context.WithAccount("")
+	}
+	return o.Context
+}
+
 // Metadata is the information that a caller sends about a request in header fields.
 type Metadata struct {
 	// ID is the caller's id of this attempt.
--- a/internal/request/relay/sender.go
+++ b/internal/request/relay/sender.go
@@ -136,6 +136,9 @@
 		if p.record(answer, delivered) {
 			return answer
 		}
+		if held(answer) {
+			break
+		}
 	}
 	return p.result()
 }
@@ -174,6 +177,12 @@
 	return false
 }
 
+// held reports whether an executing node has refused a request because such requests crash
+// backend servers, which holds for all other nodes too.
+func held(a exchange.Answer) bool {
+	return a.Refusal != nil && a.Refusal.Reason == refusal.Quarantined
+}
+
 // result returns the answer to a request that is not retried.
 func (p *progress) result() exchange.Answer {
 	if p.errorAnswer != nil {
