Test answers that are cut anywhere in their head

It can't happen here: six kinds of answers, cut after each byte of the head (the chunked one after each byte), all end with an error of unknown outcome. No change of the code was needed.

--- a/internal/connection/backend/link_test.go
+++ b/internal/connection/backend/link_test.go
@@ -274,3 +274,42 @@
 	is.True(errors.Is(err, backend.ErrNotSent))
 	is.True(errors.Is(err, backend.ErrUnreachable))
 }
+
+// cutAnswers are answers, each with the length of its head.
+var cutAnswers = map[string]string{
+	"content length": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"chunked":        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"no length":      "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nbody",
+	"no body":        "HTTP/1.1 204 No Content\r\nId: 1\r\nX-Last: value\r\n\r\n",
+	"empty":          "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\nX-Last: value\r\n\r\n",
+	"interim":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// Guards against an answer that breaks off in its head and is taken as a complete one with
+// an empty or short body.
+func TestLinkFailsOnAnswersCutAnywhereInTheHead(t *testing.T) {
+	for name, text := range cutAnswers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			head := strings.LastIndex(text, "\r\n\r\n") + 4
+			if name == "chunked" {
+				head = len(text)
+			}
+			for cut := range head {
+				address, _ := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+					var request fasthttp.Request
+					if request.Read(requests) == nil {
+						_, _ = io.WriteString(conn, text[:cut]) // the handler returns and closes the connection
+					}
+				})
+				l := newLink(address)
+				body, err := exchange(t.Context(), l, "1", "")
+				l.Close()
+				if err == nil {
+					t.Errorf("cut after %q: body %q", text[:cut], body)
+				}
+				is.True(!errors.Is(err, backend.ErrNotSent)) // it may have run
+			}
+		})
+	}
+}
