Don't believe a repeated rejection of a backend server

It can happen here: a request that a backend server rejected may be sent to it again, with the same id, when all hosts were tried. If the connection is the same one and the backend server repeats its rejection, the copy was taken for the second sending, while the request ran. A rejection without an id was believed on any connection.

Now a connection remembers the ids that were rejected on it and isn't used for them again; after 256 it is closed. A rejection without an id is believed only on a connection that has carried no earlier request; else the outcome is unknown and the connection is closed. A copy with the id of another request was skipped before already.

Ruled out: closing the connection after each rejection, which would cost a new connection for each request that a full backend server rejects.

--- a/internal/connection/backend/client.go
+++ b/internal/connection/backend/client.go
@@ -80,7 +80,7 @@
 	if p == nil || server.Service != r.Context.Service {
 		return notSent(refusal.NoBackendServer)
 	}
-	conn, err := p.get(ctx, c.clock.Now())
+	conn, err := p.get(ctx, c.clock.Now(), r.Context.RequestID)
 	if err != nil {
 		return notSent(failureReason(ctx))
 	}
--- a/internal/connection/backend/link.go
+++ b/internal/connection/backend/link.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -25,6 +26,9 @@
 	maxInlineBodyBytes = 4 << 10
 	// probeTimeout bounds a probe. The backend server runs on the same host.
 	probeTimeout = 100 * time.Millisecond
+	// maxRejected is the number of rejected requests after which a connection is not used
+	// again, which bounds the ids that it holds.
+	maxRejected = 256
 	// minCheckedIdle is the idle time from which a connection is checked before reuse.
 	// The check costs a system call.
 	minCheckedIdle = 20 * time.Millisecond
@@ -97,19 +101,39 @@
 // Close closes the idle connections. Those in use are closed after their request.
 func (l *Link) Close() { l.pool.close() }
 
-// Exchange sends a request and reads the complete response. The function matches
-// reports whether a response belongs to the request. Other responses are skipped,
-// because a backend server may send a late response to an earlier request. When the
-// context ends, the connection is closed, which signals the backend server to stop. The
-// error wraps ErrNotSent if the request can't have run, and also ErrUnreachable if the
-// connection failed.
-func (l *Link) Exchange(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, matches func(*fasthttp.Response) bool) error {
-	conn, err := l.connect(ctx)
+// A Match says how a response relates to a request.
+type Match int
+
+// The relations of a response to a request.
+const (
+	// Unrelated responses are skipped.
+	Unrelated Match = iota
+	// Answered is the response to the request.
+	Answered
+	// Rejected is the response to the request and says that it has not run.
+	Rejected
+	// Ambiguous may be the response to the request or to an earlier one.
+	Ambiguous
+)
+
+// A Matcher says how a response relates to the request that was sent last. first reports
+// that its connection has carried no earlier request.
+type Matcher func(response *fasthttp.Response, first bool) Match
+
+// Exchange sends a request and reads the complete response. Responses that match says are
+// unrelated are skipped, because a backend server may send a late response to an earlier
+// request. It may also repeat a rejection: a request with an id that was rejected on a
+// connection is not sent on the same one again, as a second rejection could be a copy of the
+// first. When the context ends, the connection is closed, which signals the backend server
+// to stop. The error wraps ErrNotSent if the request can't have run, and also ErrUnreachable
+// if the connection failed.
+func (l *Link) Exchange(ctx context.Context, id string, request *fasthttp.Request, response *fasthttp.Response, match Matcher) error {
+	conn, err := l.connect(ctx, id)
 	if err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	reusable, err := roundTrip(conn, request, response, matches)
+	reusable, err := roundTrip(conn, id, request, response, match)
 	if !stop() {
 		reusable = false
 	}
@@ -117,9 +141,9 @@
 	return err
 }
 
-func (l *Link) connect(ctx context.Context) (*connection, error) {
+func (l *Link) connect(ctx context.Context, id string) (*connection, error) {
 	for {
-		conn, err := l.pool.get(ctx, l.clock.Now())
+		conn, err := l.pool.get(ctx, l.clock.Now(), id)
 		switch {
 		case err != nil && ctx.Err() != nil:
 			return nil, errors.Join(ErrNotSent, err)
@@ -158,7 +182,7 @@
 
 // roundTrip writes the request and reads its response. It reports whether the
 // connection can be reused.
-func roundTrip(conn *connection, request *fasthttp.Request, response *fasthttp.Response, matches func(*fasthttp.Response) bool) (bool, error) {
+func roundTrip(conn *connection, id string, request *fasthttp.Request, response *fasthttp.Response, match Matcher) (bool, error) {
 	written := make(chan struct{})
 	var writeErr error
 	if len(request.Body()) <= maxInlineBodyBytes {
@@ -172,8 +196,8 @@
 			writeErr = writeRequest(conn, request)
 		}()
 	}
-	err := readMatching(conn, request, response, matches)
-	reusable := err == nil && !response.ConnectionClose() && conn.reader.Buffered() == 0
+	err := readMatching(conn, id, request, response, match)
+	reusable := err == nil && !response.ConnectionClose() && conn.reader.Buffered() == 0 && len(conn.rejected) < maxRejected
 	select {
 	case <-written:
 		reusable = reusable && writeErr == nil
@@ -194,9 +218,14 @@
 	return conn.writer.Flush()
 }
 
-var errNoMatch = errors.New("only answers to other requests came")
+// Errors of responses that can't be assigned to the request.
+var (
+	errNoMatch   = errors.New("only answers to other requests came")
+	errAmbiguous = errors.New("an answer came that may belong to an earlier request")
+)
 
-func readMatching(conn *connection, request *fasthttp.Request, response *fasthttp.Response, matches func(*fasthttp.Response) bool) error {
+func readMatching(conn *connection, id string, request *fasthttp.Request, response *fasthttp.Response, match Matcher) error {
+	first := conn.idleSince.IsZero()
 	for range maxStaleResponses {
 		response.Reset()
 		response.SkipBody = request.Header.IsHead()
@@ -206,8 +235,14 @@
 			}
 			return fmt.Errorf("read answer: %w", err)
 		}
-		if matches(response) {
+		switch match(response, first) {
+		case Answered:
+			return nil
+		case Rejected:
+			conn.rejected[xxhash.Sum64String(id)] = struct{}{}
 			return nil
+		case Ambiguous:
+			return errAmbiguous
 		}
 	}
 	return errNoMatch
--- a/internal/connection/backend/link_test.go
+++ b/internal/connection/backend/link_test.go
@@ -77,8 +77,15 @@
 	request.Header.SetRequestURI("/")
 	request.Header.SetHost("a")
 	request.SetBodyString(body)
-	err := l.Exchange(ctx, &request, &response, func(r *fasthttp.Response) bool {
-		return string(r.Header.Peek("Id")) == id
+	err := l.Exchange(ctx, id, &request, &response, func(r *fasthttp.Response, _ bool) backend.Match {
+		switch {
+		case string(r.Header.Peek("Id")) != id:
+			return backend.Unrelated
+		case r.StatusCode() == fasthttp.StatusServiceUnavailable:
+			return backend.Rejected
+		default:
+			return backend.Answered
+		}
 	})
 	return string(response.Body()), err
 }
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -8,9 +8,12 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -38,6 +41,9 @@
 	writer *bufio.Writer
 	// idleSince is when the connection became idle, zero before its first use.
 	idleSince time.Time
+	// rejected are the hashed ids of requests that the backend server rejected on this
+	// connection.
+	rejected map[uint64]struct{}
 	// buffered limits what is held of the answers of all connections of a pool, and
 	// counted is the part that this connection's answer has.
 	buffered *bufferLimit
@@ -89,14 +95,15 @@
 	}
 }
 
-// get returns an idle connection or opens one. It blocks while the limit is reached.
-func (p *pool) get(ctx context.Context, now time.Time) (*connection, error) {
+// get returns an idle connection on which the request with the id was not rejected, or opens
+// one. It blocks while the limit is reached.
+func (p *pool) get(ctx context.Context, now time.Time, id string) (*connection, error) {
 	select {
 	case p.slots <- struct{}{}:
 	case <-ctx.Done():
 		return nil, fmt.Errorf("wait for a connection: %w", ctx.Err())
 	}
-	if c := p.takeIdle(now); c != nil {
+	if c := p.takeIdle(now, id); c != nil {
 		return c, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -105,23 +112,30 @@
 		<-p.slots
 		return nil, fmt.Errorf("connect to backend server %s: %w", p.address, err)
 	}
-	c := &connection{Conn: raw, buffered: p.buffered, writer: bufio.NewWriterSize(raw, bufferBytes)}
+	c := &connection{
+		Conn: raw, buffered: p.buffered, writer: bufio.NewWriterSize(raw, bufferBytes), rejected: make(map[uint64]struct{}),
+	}
 	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	return c, nil
 }
 
-// takeIdle returns the newest idle connection within maxIdleTime, or nil. It closes
-// expired ones.
-func (p *pool) takeIdle(now time.Time) *connection {
+// takeIdle returns the newest idle connection within maxIdleTime on which the request with
+// the id was not rejected, or nil. It closes expired ones.
+func (p *pool) takeIdle(now time.Time, id string) *connection {
+	hash := xxhash.Sum64String(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.idleSince) < maxIdleTime {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if now.Sub(c.idleSince) >= maxIdleTime {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			c.Close()
+			continue
+		}
+		if _, ok := c.rejected[hash]; !ok {
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
-		c.Close()
 	}
 	return nil
 }
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -183,9 +183,9 @@
 	started := x.clock.Now()
 	kind := Unrelated
 	x.backendServer.RecordSent(link, o.Context.Retried)
-	err = link.Exchange(ctx, request, response, func(r *fasthttp.Response) bool {
-		kind = x.dialect.Classify(r, o.Context.RequestID)
-		return kind != Unrelated
+	err = link.Exchange(ctx, o.Context.RequestID, request, response, func(r *fasthttp.Response, first bool) backend.Match {
+		kind = x.dialect.Classify(r, o.Context.RequestID, first)
+		return kind.match()
 	})
 	calls := end()
 	if err == nil && kind != Misdirected {
--- a/internal/request/relay/order.go
+++ b/internal/request/relay/order.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bilberryvane/bilberryvane/internal/connection/backend"
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 )
@@ -74,8 +75,25 @@
 	Misdirected
 	// Unrelated is not a response to the request.
 	Unrelated
+	// Unidentified means that the request was not run, or that one sent earlier on the same
+	// connection was not: the response doesn't say to which request it belongs.
+	Unidentified
 )
 
+// match returns how a response of the kind relates to the request.
+func (k ResponseKind) match() backend.Match {
+	switch k {
+	case Answered:
+		return backend.Answered
+	case NotRun, Misdirected:
+		return backend.Rejected
+	case Unidentified:
+		return backend.Ambiguous
+	default:
+		return backend.Unrelated
+	}
+}
+
 // A Dialect reads and writes the header fields that a deployment uses.
 type Dialect interface {
 	// Metadata reads the caller's header fields; the error says what is malformed.
@@ -85,8 +103,9 @@
 	// Prepare fills in the request to a backend server; remaining is the time until the
 	// deadline.
 	Prepare(request *fasthttp.Request, o Order, remaining time.Duration)
-	// Classify classifies a response to the request with the id.
-	Classify(response *fasthttp.Response, id string) ResponseKind
+	// Classify classifies a response to the request with the id. first reports that the
+	// connection has carried no earlier request.
+	Classify(response *fasthttp.Response, id string, first bool) ResponseKind
 	// Status reads what the backend server states about itself in a response. The
 	// error says which fields are malformed; they are missing in the result.
 	Status(response *fasthttp.Response) (exchange.BackendStatus, error)
