Ignore records of hosts and announcements with values out of range

Nodes did not end on odd rows, and all rows were read, but: a row with a port out of range, an unknown state or absurd slots counted as a host; a row under a host's own name with the highest incarnation made that host unusable to nodes that started later, because its own record could not replace the row (adding one overflowed); and an announcement with the highest sequence or a start time in the far future made all real ones after it count as outdated.

Rows that are nested 100,000 deep or hold 1e400 were rejected before already.

A well-formed row of a host that doesn't exist can't be told from one of a host that was lost; that stays listed in docs/design/platform.md.

--- a/internal/process/backendserver/server.go
+++ b/internal/process/backendserver/server.go
@@ -52,10 +52,35 @@
 var (
 	// ErrStale reports that a newer announcement has been applied.
 	ErrStale = errors.New("a newer announcement has been applied")
+	// ErrInvalid reports that values of an announcement are out of range.
+	ErrInvalid = errors.New("the announcement is not valid")
 	// ErrForeign reports that an announcement is not from this host's backend server.
 	ErrForeign = errors.New("the announcement is not from this host's backend server")
 )
 
+// maxSequence is above any number of announcements that a process makes.
+const maxSequence = 1 << 53
+
+// maxWarmup is far above the warm-up time of any backend server.
+const maxWarmup = time.Hour
+
+// validate returns an error that wraps ErrInvalid if the values are out of range. Another
+// writer may have sent them, and a start time or sequence that is too large would make all
+// later announcements stale.
+func (a Announcement) validate(now time.Time) error {
+	switch {
+	case !fleet.PlausibleSlots(a.Slots):
+		return fmt.Errorf("%w: %d slots", ErrInvalid, a.Slots)
+	case a.Sequence < 0 || a.Sequence > maxSequence:
+		return fmt.Errorf("%w: sequence %d", ErrInvalid, a.Sequence)
+	case !fleet.PlausibleStart(now, a.Born):
+		return fmt.Errorf("%w: started at %d", ErrInvalid, a.Born)
+	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmup:
+		return fmt.Errorf("%w: warm-up of %v", ErrInvalid, a.WarmupLeft)
+	}
+	return nil
+}
+
 // Settings are the settings of a Server.
 type Settings struct {
 	// Address is the address of the backend server, Service the service that it runs.
@@ -139,11 +164,14 @@
 	return s.record
 }
 
-// Announce applies an announcement. The error is or wraps ErrStale or ErrForeign.
+// Announce applies an announcement. The error is or wraps ErrStale, ErrForeign or ErrInvalid.
 func (s *Server) Announce(a Announcement) error {
 	if a.ID == "" || a.Service != s.settings.Service || a.Address != s.settings.Address {
 		return fmt.Errorf("%w: %q of service %q at %s", ErrForeign, a.ID, a.Service, a.Address)
 	}
+	if err := a.validate(s.clock.Now()); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	now := s.clock.Now()
 	before := s.record
--- a/internal/process/mesh/exchange.go
+++ b/internal/process/mesh/exchange.go
@@ -198,6 +198,10 @@
 		return
 	}
 	for _, h := range reply.Hosts {
+		if err := h.Validate(m.clock.Now()); err != nil {
+			m.log.Emit(event.NoticeUnreadable, log.Fields{"error": err.Error(), "kind": "host record"})
+			continue
+		}
 		m.mergeRecord(h, "peer")
 	}
 	m.delegate.HandleKnownHosts()
--- a/internal/process/sidecar/record.go
+++ b/internal/process/sidecar/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -35,9 +36,11 @@
 	// node can notify them directly.
 	registered chan struct{}
 
-	// mu guards host and version.
+	// mu guards the fields below.
 	mu   sync.Mutex
 	host fleet.Host
+	// overwritten is set until the row is written again after another writer replaced it.
+	overwritten bool
 	// version is the version of the last written row.
 	version uint64
 }
@@ -104,6 +107,26 @@
 	return stale
 }
 
+// rewrite schedules a write of the row, which another writer has replaced.
+func (r *hostRecord) rewrite() {
+	r.mu.Lock()
+	r.overwritten = true
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// takeOverwritten reports whether the row was replaced by another writer, once.
+func (r *hostRecord) takeOverwritten() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	overwritten := r.overwritten
+	r.overwritten = false
+	return overwritten
+}
+
 // persisted returns the part of a record whose changes are written to the store.
 func persisted(h fleet.Host) fleet.Host {
 	h.Revision = 0
@@ -116,15 +139,20 @@
 // run writes the record whenever its persisted part has changed, until ctx is done.
 func (r *hostRecord) run(ctx context.Context) {
 	var written fleet.Host
+	first := true
 	for ctx.Err() == nil {
 		current := r.Host()
+		if r.takeOverwritten() {
+			written = fleet.Host{}
+		}
 		if persisted(current) != written && !current.Leaving {
 			if err := r.write(ctx, current); err != nil {
 				sleepJittered(ctx, minStoreBackoff)
 				continue
 			}
-			if written.Name == "" {
+			if first {
 				r.registered <- struct{}{}
+				first = false
 			}
 			written = persisted(current)
 			continue
@@ -187,9 +215,12 @@
 func (n *Node) mergeHosts(rows []Row) {
 	own := n.settings.Name
 	for _, row := range rows {
-		var h fleet.Host
-		if err := json.Unmarshal(row.Value, &h); err != nil || h.Name != row.Key {
-			n.log.Emit(event.HostUnreadable, log.Fields{"row": row.Key, "version": row.Version})
+		h, err := decodeHost(row, n.clock.Now())
+		if err != nil {
+			n.log.Emit(event.HostUnreadable, log.Fields{"row": row.Key, "version": row.Version, "error": err.Error()})
+			if row.Key == own {
+				n.record.rewrite()
+			}
 			continue
 		}
 		if h.Name == own {
@@ -204,3 +235,19 @@
 		}
 	}
 }
+
+// decodeHost decodes a row of the hosts table. Other writers may leave rows that are not
+// records of hosts.
+func decodeHost(row Row, now time.Time) (fleet.Host, error) {
+	var h fleet.Host
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return fleet.Host{}, fmt.Errorf("decode host record: %w", err)
+	}
+	if h.Name != row.Key {
+		return fleet.Host{}, fmt.Errorf("record of another host in row %q: %w", row.Key, fleet.ErrInvalidRecord)
+	}
+	if err := h.Validate(now); err != nil {
+		return fleet.Host{}, fmt.Errorf("check host record: %w", err)
+	}
+	return h, nil
+}
