Look less often who watches the store, and for strikes to send

Both looks go through all hosts: 20 and 10 times a second before, now twice a second and when hosts or connections have changed. No change of what is sent or when a check is made, but for the role of a host, which is known up to 0.5 s later.

--- a/internal/process/mesh/exchange.go
+++ b/internal/process/mesh/exchange.go
@@ -38,6 +38,10 @@
 	// hostChanges and linkChanges are the change counts at which all hosts had a trunk.
 	hostChanges, linkChanges uint64
 	allConnected             bool
+	// strikesHostChanges and strikesLinkChanges are the change counts at which strikes were
+	// last sent to all hosts that need them, if strikesSent is set.
+	strikesHostChanges, strikesLinkChanges uint64
+	strikesSent                            bool
 	// silentZones is when a host of a zone last stopped to respond.
 	silentZones map[string]time.Time
 }
--- a/internal/process/mesh/strikes.go
+++ b/internal/process/mesh/strikes.go
@@ -19,9 +19,16 @@
 	if service == "" {
 		return
 	}
+	s := &m.schedule
+	hostChanges, linkChanges := m.directory.Changes(), m.Changes()
 	m.mu.Lock()
 	published := m.strikes
 	m.strikes = nil
+	if len(published) == 0 && s.strikesSent && s.strikesHostChanges == hostChanges && s.strikesLinkChanges == linkChanges {
+		m.mu.Unlock()
+		return
+	}
+	s.strikesSent, s.strikesHostChanges, s.strikesLinkChanges = true, hostChanges, linkChanges
 	var peers, uninformed []*link
 	for host, l := range m.byHost {
 		if h, ok := m.directory.Host(host); !ok || h.Backend.Service != service {
--- a/internal/process/sidecar/watch.go
+++ b/internal/process/sidecar/watch.go
@@ -51,6 +51,9 @@
 	checkDelay         = 300 * time.Millisecond
 	// checkInterval is the time between two looks at the age of the last check.
 	checkInterval = 50 * time.Millisecond
+	// coveredRefreshInterval is the time between two looks whether others watch for this
+	// host, which takes time in a large fleet.
+	coveredRefreshInterval = 500 * time.Millisecond
 	// checkWait is how long the store blocks a check, the least that it accepts.
 	checkWait = time.Millisecond
 	// checkTimeout bounds a check.
@@ -136,10 +139,17 @@
 func (w *watcher) runChecks(ctx context.Context) {
 	backoff := minStoreBackoff
 	delay := rand.N(checkDelay)
-	relying := false
+	covered, relying := false, false
+	var coveredAt time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, checkInterval)
-		age, covered := w.checks.StoreCheckAge(), w.checks.Covered()
+		if !w.checks.LargeFleet() {
+			continue
+		}
+		if time.Since(coveredAt) > coveredRefreshInterval {
+			covered, coveredAt = w.checks.Covered(), time.Now()
+		}
+		age := w.checks.StoreCheckAge()
 		if r := covered && w.checkedByOthers(age); r != relying {
 			relying = r
 			w.log.Emit(event.StoreReliance, log.Fields{"table": w.table, "relying": relying, "age": age.String()})
@@ -148,7 +158,7 @@
 		if covered {
 			limit = maxCoveredCheckAge
 		}
-		if !w.checks.LargeFleet() || !w.isSynced() || age < limit+delay {
+		if !w.isSynced() || age < limit+delay {
 			continue
 		}
 		delay = rand.N(checkDelay)
