Check the store for lost answers in small fleets too

The cause of the late configurations, elsewhere: in a fleet of up to 24 hosts each watches the store, but if the answers to all these calls are lost, all of them wait on for up to 9.5 s, and nobody notices. The checks that large fleets make now are made there too, and passed on to all hosts.

Two metrics: the version in force and the age of the last check.

--- a/internal/process/mesh/exchange.go
+++ b/internal/process/mesh/exchange.go
@@ -46,9 +46,9 @@
 	silentZones map[string]time.Time
 }
 
-// LargeFleet reports whether the fleet is so large that carriers summarize the loads of their
+// largeFleet reports whether the fleet is so large that carriers summarize the loads of their
 // zones and watch the store for them.
-func (m *Mesh) LargeFleet() bool { return m.directory.Size() > smallFleetSize }
+func (m *Mesh) largeFleet() bool { return m.directory.Size() > smallFleetSize }
 
 // exchange sends the own record where it has changed, and the notices that are due. A new
 // version of the configuration is announced at once.
@@ -67,7 +67,7 @@
 		m.schedule.lastRound = now
 		m.schedule.rounds++
 	}
-	if !m.LargeFleet() {
+	if !m.largeFleet() {
 		report := m.delegate.Report()
 		m.send(m.hostLinks(nil), Notice{Demand: m.delegate.Demand(), Report: &report})
 		return
--- a/internal/process/mesh/link.go
+++ b/internal/process/mesh/link.go
@@ -213,7 +213,7 @@
 // one doesn't, all hosts of its zone are probed, because the zone may be cut off.
 func (m *Mesh) checkLinks() {
 	longest := maxQuietSmall
-	if m.LargeFleet() {
+	if m.largeFleet() {
 		longest = maxQuietLarge
 	}
 	now := m.clock.Now()
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -207,7 +207,7 @@
 
 // Covered reports whether other hosts of the zone watch the store for this one: the carriers
 // of a large fleet.
-func (m *Mesh) Covered() bool { return m.LargeFleet() && !m.isCarrier() }
+func (m *Mesh) Covered() bool { return m.largeFleet() && !m.isCarrier() }
 
 // isCarrier reports whether this host should carry the summary of its zone.
 func (m *Mesh) isCarrier() bool {
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -62,12 +62,12 @@
 	n.mesh.TriggerNotices()
 }
 
-func (n *node) Demand() map[string]float64                { return nil }
-func (n *node) HandleDemand(string, map[string]float64)   {}
-func (n *node) Strikes() []quarantine.Rumour              { return nil }
-func (n *node) HandleStrikes(strikes []quarantine.Rumour) {}
-func (n *node) HandleKnownHosts()                         {}
-func (n *node) HandleOwnRecord(fleet.Host)                {}
+func (n *node) Demand() map[string]float64              { return nil }
+func (n *node) HandleDemand(string, map[string]float64) {}
+func (n *node) Strikes() []quarantine.Rumour            { return nil }
+func (n *node) HandleStrikes([]quarantine.Rumour)       {}
+func (n *node) HandleKnownHosts()                       {}
+func (n *node) HandleOwnRecord(fleet.Host)              {}
 func (n *node) Lend(l mesh.Loan) mesh.LoanReply {
 	return mesh.LoanReply{Granted: l.Account == "depot", RetryAfter: time.Second}
 }
--- a/internal/process/mesh/storecheck.go
+++ b/internal/process/mesh/storecheck.go
@@ -68,14 +68,18 @@
 	m.recordCheck(now.Add(-age))
 }
 
-// announceStoreCheck sends a new check of this node to the hosts of its zone and to the
-// carriers of the others, so that they need not make their own.
+// announceStoreCheck sends a new check of this node to all hosts or, in a large fleet, to the
+// hosts of its zone and the carriers of the others, so that they need not make their own.
 func (m *Mesh) announceStoreCheck() {
 	m.mu.Lock()
 	announce := m.checkedHere
 	m.checkedHere = false
 	m.mu.Unlock()
-	if !announce || !m.LargeFleet() {
+	switch {
+	case !announce:
+		return
+	case !m.largeFleet():
+		m.send(m.hostLinks(nil), Notice{StoreCheck: m.storeCheck()})
 		return
 	}
 	own := m.own().Zone
--- a/internal/process/sidecar/counters.go
+++ b/internal/process/sidecar/counters.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -23,10 +24,14 @@
 	latency            [len(latencyBounds) + 1]expvar.Int
 	latencySum         expvar.Int
 	backendServer      *backendserver.Server
+	configuration      *configuration
+	// checkAge returns the time since the store was last known to hold no newer
+	// configuration. It is set before the counters are served.
+	checkAge func() time.Duration
 }
 
-func newCounters(s *backendserver.Server) *counters {
-	return &counters{refused: new(expvar.Map).Init(), backendServer: s}
+func newCounters(s *backendserver.Server, c *configuration) *counters {
+	return &counters{refused: new(expvar.Map).Init(), backendServer: s, configuration: c}
 }
 
 // Count counts one request. It implements relay.Counter.
@@ -67,6 +72,7 @@
 	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_sum %d\n", c.latencySum.Value())
 	fmt.Fprintf(&b, "bilberryvane_latency_milliseconds_count %d\n", total)
 	c.writeBackendServer(&b)
+	c.writeConfiguration(&b)
 	response.Header.SetContentType("text/plain; version=0.0.4")
 	response.SetBodyString(b.String())
 }
@@ -82,3 +88,12 @@
 		fmt.Fprintf(b, "bilberryvane_backend_server_request_limit %g\n", status.RequestLimit)
 	}
 }
+
+// writeConfiguration writes the metrics of the configuration. The age of the last check is
+// missing until there is one.
+func (c *counters) writeConfiguration(b *strings.Builder) {
+	fmt.Fprintf(b, "bilberryvane_configuration_version %d\n", c.configuration.Version())
+	if age := c.checkAge(); age < math.MaxInt64 {
+		fmt.Fprintf(b, "bilberryvane_configuration_check_age_seconds %.3f\n", age.Seconds())
+	}
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -124,7 +124,7 @@
 	n.backend = backendserver.New(backendserver.Settings{
 		Address: s.Backend, Service: s.Service, Connections: maxBackendConnections, DrainTime: s.Drain, AnnounceInterval: s.AnnounceInterval,
 	}, d.Clock, d.Log, n.applyBackend)
-	n.counters = newCounters(n.backend)
+	n.counters = newCounters(n.backend, n.configuration)
 	n.admission = admitter.New(s.Name, n.configuration, d.Clock, admission.WithFixedLimit())
 	if err := n.listen(); err != nil {
 		n.close()
@@ -157,6 +157,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for nodes: %w", err)
 	}
+	n.counters.checkAge = n.mesh.StoreCheckAge
 	sender := relay.NewSender(relay.SenderDeps{
 		Host:   n.settings.Name,
 		Router: newRouter(n.settings.Name, n.settings.Zone, n.directory, n.mesh, n.clock),
--- a/internal/process/sidecar/watch.go
+++ b/internal/process/sidecar/watch.go
@@ -97,9 +97,7 @@
 
 // StoreChecks are the checks of the store that hosts make for each other.
 type StoreChecks interface {
-	// LargeFleet reports whether hosts rely on others to watch the store, and Covered
-	// whether this one does.
-	LargeFleet() bool
+	// Covered reports whether this host relies on others to watch the store.
 	Covered() bool
 	// StoreCheckAge returns the time since the last check of any host.
 	StoreCheckAge() time.Duration
@@ -143,9 +141,6 @@
 	var coveredAt time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, checkInterval)
-		if !w.checks.LargeFleet() {
-			continue
-		}
 		if time.Since(coveredAt) > coveredRefreshInterval {
 			covered, coveredAt = w.checks.Covered(), time.Now()
 		}
