--- a/internal/process/trail/explanation.go
+++ b/internal/process/trail/explanation.go
@@ -131,6 +131,8 @@
 			return "Node " + l.Node + " had a connection to no host that offers the service."
 		}
 		return fmt.Sprintf("Its backend server %s was lost or left: %s.", l.text("backend-server"), withDefault(l.text("detail"), "no details are known"))
+	case refusal.Quarantined:
+		return "Requests with the same content crashed backend servers, so it was held back."
 	case refusal.Unreachable:
 		return "The host that ran it could not be reached: " + l.text("detail") + "."
 	case refusal.Cancelled:
--- a/internal/process/trail/trail_test.go
+++ b/internal/process/trail/trail_test.go
@@ -79,6 +79,17 @@
 	is.True(strings.Contains(stepsText(s), "Why: unreachable."))
 }
 
+func TestExplainRequestThatIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	s, ok := read(t,
+		line("back-1", 0, 2000, `"at":"executing","request":"1f","service":"stock","backend-server":"i-1","reason":"quarantined","outcome":"not-run"`),
+		line("front-1", 1, 2000, `"at":"entry","request":"1f","route":"sheet","reason":"quarantined","outcome":"not-run","retry-after":"59m0s"`),
+	).Explain("1f")
+	is.True(ok)
+	is.Equal(s.Cause, "Requests with the same content crashed backend servers, so it was held back.")
+	is.True(strings.Contains(stepsText(s), "the retry-after was 59m0s; it has not run"))
+}
+
 func TestExplainNoHostForService(t *testing.T) {
 	is := is.New(t)
 	s, _ := read(t, line("front-1", 0, 2000, `"at":"entry","request":"1f","reason":"no-backend-server","outcome":"not-run"`)).Explain("1f")
