--- a/internal/process/node/setup.go
+++ b/internal/process/node/setup.go
@@ -95,10 +95,10 @@
 	list := quarantine.NewList(host.Name, n.membership.Self().Incarnation)
 	filter := suspects.NewFilter(host.Name, list, n.strikeBroadcaster, n.clock, n.log, suspects.WithHosts(n.strikeBroadcaster))
 	n.endpoint.Handle(strikes.KindStrikes, func(_ context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-		return nil, filter.Decode(body)
+		return nil, filter.MergeEncoded(body)
 	})
 	n.strikeBroadcaster.Subscribe(func(payload []byte) {
-		_ = filter.Decode(payload) // Ignore rumours that can't be decoded.
+		_ = filter.MergeEncoded(payload) // Ignore rumours that can't be decoded.
 	})
 	n.setUpOwnership()
 	executor := execute.New(execute.Deps{
--- a/internal/process/suspects/suspects.go
+++ b/internal/process/suspects/suspects.go
@@ -113,8 +113,9 @@
 	return refusal.New(refusal.Quarantined).WithRetryAfter(f.list.RefusedFor(f.clock.Now(), p))
 }
 
-// Decode applies strikes and clearances that Publisher implementations have encoded.
-func (f *Filter) Decode(payload []byte) error {
+// MergeEncoded applies the strikes and clearances of other nodes that package strikes has
+// encoded.
+func (f *Filter) MergeEncoded(payload []byte) error {
 	var rumours []quarantine.Rumour
 	if err := codec.Decoder.Unmarshal(payload, &rumours); err != nil {
 		return fmt.Errorf("decode strikes: %w", err)
