Make no checks for others at a host that rejects the configuration

A host that can't use a new configuration, as one of an older release, read it from the store and then told others that the store holds nothing newer than its own version. They relied on that for as long as it went on.

--- a/internal/process/sidecar/configuration.go
+++ b/internal/process/sidecar/configuration.go
@@ -52,13 +52,13 @@
 }
 
 // adopt activates a configuration if it is newer than the active one. from is its source,
-// the store or the name of a host.
-func (c *configuration) adopt(content []byte, from string) {
+// the store or the name of a host. It reports whether the configuration is valid.
+func (c *configuration) adopt(content []byte, from string) bool {
 	start := time.Now()
 	s, err := c.decode(content)
 	if err != nil {
 		c.log.Emit(event.ConfigurationRejected, log.Fields{"error": err.Error(), "from": from})
-		return
+		return false
 	}
 	c.mu.Lock()
 	current := c.snapshot
@@ -71,6 +71,7 @@
 		c.log.Emit(event.ConfigurationInForce, log.Fields{"version": s.Version(), "from": from, "remarks": s.Remarks(), "took": time.Since(start).String()})
 		c.onChange()
 	}
+	return true
 }
 
 // Target returns the target of a route. It implements admitter.Targets.
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -208,13 +208,16 @@
 	n.tasks.Go(func() { n.maintain(ctx) })
 }
 
-// applyConfiguration applies the configuration if rows contain its row.
-func (n *Node) applyConfiguration(rows []Row) {
+// applyConfiguration applies the configuration if rows contain its row, and reports whether
+// the last one in them is valid.
+func (n *Node) applyConfiguration(rows []Row) bool {
+	valid := true
 	for _, row := range rows {
 		if row.Key == n.deps.ConfigurationKey && !row.Removed {
-			n.configuration.adopt(row.Value, "store")
+			valid = n.configuration.adopt(row.Value, "store")
 		}
 	}
+	return valid
 }
 
 // maintain periodically checks the backend server, splits the rates and samples demand
--- a/internal/process/sidecar/watch.go
+++ b/internal/process/sidecar/watch.go
@@ -76,9 +76,11 @@
 	store Store
 	table string
 	log   event.Log
-	// onSnapshot is called with all rows of the table, onChange with the changed rows.
-	onSnapshot func([]Row)
-	onChange   func([]Row)
+	// onSnapshot is called with all rows of the table, onChange with the changed rows. They
+	// report whether this host could use the rows. If not, it doesn't hold the newest
+	// configuration, and its calls are no checks for others.
+	onSnapshot func([]Row) bool
+	onChange   func([]Row) bool
 	// fleetSize returns the number of hosts that watch the table.
 	fleetSize func() int
 	checks    StoreChecks
@@ -93,6 +95,8 @@
 	syncedAt time.Time
 	// checkedAt is when the last successful call of this host began.
 	checkedAt time.Time
+	// unusable is set while this host can't use the newest rows.
+	unusable bool
 }
 
 // StoreChecks are the checks of the store that hosts make for each other.
@@ -229,11 +233,11 @@
 		}
 		return err
 	}
+	apply := w.onSnapshot
 	if synced {
-		w.onChange(rows.Rows)
-	} else {
-		w.onSnapshot(rows.Rows)
+		apply = w.onChange
 	}
+	usable := apply(rows.Rows)
 	checked := called
 	if synced && len(rows.Rows) == 0 {
 		checked = called.Add(min(wait, time.Since(called))) // The store answered after the wait.
@@ -244,8 +248,12 @@
 	}
 	w.version = max(w.version, rows.Version)
 	w.checkedAt = checked
+	w.unusable = !usable || w.unusable && len(rows.Rows) == 0
+	unusable := w.unusable
 	w.mu.Unlock()
-	w.checks.RecordStoreCheck(checked)
+	if !unusable {
+		w.checks.RecordStoreCheck(checked)
+	}
 	return nil
 }
 
