Don't read the whole configuration again at hosts that others watch for

Since the checks of the store, a host that others watch for read the table in full each 20 to 60 s, as the hosts that watch do: one more call with the whole configuration a host and minute at 59 hosts and more. The order of the two tests is as before again.

--- a/internal/process/sidecar/watch.go
+++ b/internal/process/sidecar/watch.go
@@ -44,7 +44,7 @@
 	// the table checks it, and maxCoveredCheckAge that for the other hosts. Up to checkDelay
 	// is added at random. With one host of the zone that reaches the store, changes are read
 	// within maxCoveredCheckAge and checkDelay; the platform allows 2 s until they are in
-	// force on its smallest deployments. Hosts that others watch for hear of a check up to
+	// force on its smallest deployments. Hosts that others watch for learn of a check up to
 	// half a second after the hosts that watch.
 	maxCheckAge        = 500 * time.Millisecond
 	maxCoveredCheckAge = 1200 * time.Millisecond
@@ -119,11 +119,11 @@
 func (w *watcher) run(ctx context.Context) {
 	backoff := minStoreBackoff
 	for ctx.Err() == nil {
-		synced := w.expireSync()
-		if synced && w.checks.Covered() {
+		if w.isSynced() && w.checks.Covered() {
 			sleep(ctx, coveredCheckInterval)
 			continue
 		}
+		synced := w.expireSync()
 		wait := scaledInterval(w.fleetSize(), watchWaitPerHost, minWatchWait, maxWatchWait)
 		if err := w.call(ctx, wait, wait+watchTimeoutMargin); err != nil {
 			backoff = w.backOff(ctx, err, backoff)
