--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,11 +22,12 @@
 	"slow-reader": playSlowReader,
 	"uploads":     playUploads,
 	"leavers":     playLeavers,
+	"crasher":     playCrasher,
 }
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: _standin slow-reader|uploads|leavers FOLDER, in the repository's root")
+		fmt.Fprintln(os.Stderr, "usage: _standin slow-reader|uploads|leavers|crasher FOLDER, in the repository's root")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(run(plays[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
