--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -47,6 +49,13 @@
 		return notRun(err)
 	}
 	defer f.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		f.stop()
+		os.Exit(exitNotRun)
+	}()
 	rec.logf("trouble: %v", trouble)
 	broken, err := p(f, trouble)
 	switch {
