Keep closing connections open until their callers have closed them

Cause: linger closed a connection 500 ms after the last answer was handed to the kernel. What a caller sends after that is answered with a reset, and the kernel drops what it hasn't delivered.

Ruled out: requests in flight that are cut (the test has none), the end of the process (1.5 s after the reset).

Change: the write side is closed and the connection read until the caller closes its end, at most 30 s or until the grace period ends; a leaving node waits for such connections. The idle timeout closes in the same way.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -21,9 +21,9 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds the time that a caller may take to read a response.
 	writeTimeout = 30 * time.Second
-	// lingerTimeout is how long a closing connection keeps reading. Closing it at once
-	// could send a reset, which discards a response that the caller hasn't read yet.
-	lingerTimeout = 500 * time.Millisecond
+	// lingerTimeout bounds how long a closing connection waits for the caller to close its
+	// end. It is the time that the caller may take to read a response.
+	lingerTimeout = writeTimeout
 	// minReadBufferBytes is the minimum size of a connection's read buffer.
 	minReadBufferBytes = 4 << 10
 	// writeBufferBytes is the size of the write buffer, which fits the headers and most
@@ -31,7 +31,7 @@
 	writeBufferBytes = 4 << 10
 )
 
-// errClosing stops reading from a connection after its final response was written.
+// errClosing stops reading requests from a connection that is closing.
 var errClosing = errors.New("connection is closing")
 
 // A connection serves the requests on one caller connection.
@@ -47,9 +47,11 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 
-	// mu guards unanswered and finalWritten.
-	mu           sync.Mutex
-	unanswered   int
+	// mu guards unanswered and finalWritten, and the read deadline once finalWritten is set.
+	mu         sync.Mutex
+	unanswered int
+	// finalWritten is set once no further response will be written. The connection then
+	// only waits for the caller to close its end.
 	finalWritten bool
 }
 
@@ -93,6 +95,12 @@
 	c.serving.Wait()
 	c.cancel(nil)
 	c.conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.finalWritten {
+		c.server.lingering.Add(-1)
+	}
+	c.finalWritten = true
 }
 
 // read returns the next complete request and the bytes reserved for its body, which the
@@ -103,7 +111,7 @@
 	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
 		return nil, 0, disconnectError{err}
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	if err := c.setReadTimeout(limits.HeaderTimeout); err != nil {
 		return nil, 0, disconnectError{err}
 	}
 	incoming := fasthttp.AcquireRequest()
@@ -119,14 +127,22 @@
 	if reserved, err = c.readBody(incoming, limits); err != nil {
 		return nil, reserved, err
 	}
-	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
-		return nil, reserved, disconnectError{err}
-	}
 	return incoming, reserved, c.startRequest()
 }
 
-// startRequest counts a complete request as active. If the final response of the
-// connection was written in the meantime, it fails and the request counts as unread.
+// setReadTimeout bounds the time until the next bytes arrive. It returns errClosing if no
+// further request is served on the connection.
+func (c *connection) setReadTimeout(d time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.finalWritten {
+		return errClosing
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(d))
+}
+
+// startRequest counts a complete request as active. It returns errClosing if no further
+// request is served on the connection, and the request counts as unread.
 func (c *connection) startRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,15 +158,14 @@
 // while no earlier request is being served.
 func (c *connection) awaitRequest(idle time.Duration) error {
 	for {
-		if err := c.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
+		if err := c.setReadTimeout(idle); err != nil {
 			return err
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return nil
 		}
-		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Timeout() && c.busy() {
+		if isTimeout(err) && c.busy() {
 			continue
 		}
 		return err
@@ -163,6 +178,13 @@
 	return c.unanswered > 0
 }
 
+// isClosing reports whether no further response will be written.
+func (c *connection) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finalWritten
+}
+
 // readBody reads the body of a request and returns the bytes reserved for it. A body
 // whose length is known is reserved before any of it is read.
 func (c *connection) readBody(request *fasthttp.Request, limits Limits) (reserved int64, err error) {
@@ -184,7 +206,7 @@
 	if length == 0 {
 		return reserved, request.ContinueReadBody(c.reader, limits.BodyBytes, false)
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := c.setReadTimeout(bodyTimeout); err != nil {
 		return reserved, disconnectError{err}
 	}
 	if length < 0 {
@@ -214,11 +236,11 @@
 	c.mu.Lock()
 	c.unanswered--
 	discarded := c.finalWritten
-	if closeRequested || response.ConnectionClose() || c.server.closing.Load() && c.unanswered == 0 {
-		c.finalWritten = true
+	final := !discarded && (closeRequested || response.ConnectionClose() || c.server.closing.Load() && c.unanswered == 0)
+	if final {
+		c.markFinal()
 		response.SetConnectionClose()
 	}
-	final := c.finalWritten
 	c.mu.Unlock()
 	if discarded || c.ctx.Err() != nil {
 		return
@@ -229,10 +251,16 @@
 		return
 	}
 	if final {
-		c.linger()
+		c.closeWrite()
 	}
 }
 
+// markFinal records that no further response will be written. mu must be held.
+func (c *connection) markFinal() {
+	c.finalWritten = true
+	c.server.lingering.Add(1)
+}
+
 func (c *connection) send(response *fasthttp.Response) error {
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -249,37 +277,41 @@
 	c.mu.Lock()
 	idle := c.unanswered == 0 && !c.finalWritten
 	if idle {
-		c.finalWritten = true
+		c.markFinal()
 	}
 	c.mu.Unlock()
 	if idle {
-		c.linger()
+		c.closeWrite()
 	}
 }
 
-// linger closes the write side, and the connection after lingerTimeout. The reader
-// continues until then.
-func (c *connection) linger() {
-	if closer, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		if err := closer.CloseWrite(); err != nil {
-			c.conn.Close()
-			return
-		}
+// closeWrite closes the write side of the connection. The reader continues until the
+// caller closes its side: closing the connection earlier would answer whatever the caller
+// still sends with a reset, which discards responses that it hasn't read yet.
+func (c *connection) closeWrite() {
+	c.mu.Lock()
+	err := c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.mu.Unlock()
+	if closer, ok := c.conn.(interface{ CloseWrite() error }); ok && err == nil {
+		err = closer.CloseWrite()
+	}
+	if err != nil {
+		c.conn.Close()
 	}
-	time.AfterFunc(lingerTimeout, func() { c.conn.Close() })
 }
 
 // handleReadError handles an error from read. A malformed request gets an error
 // response; if the caller disconnected, the requests in flight are cancelled.
 func (c *connection) handleReadError(err error, turn <-chan struct{}) {
-	var disconnected disconnectError
-	if errors.As(err, &disconnected) {
-		c.cancel(ErrCallerDisconnected)
-		return
-	}
-	if errors.Is(err, errClosing) {
+	outside := errors.As(err, new(disconnectError))
+	switch {
+	case errors.Is(err, errClosing), outside && isTimeout(err), c.isClosing():
+		c.closeIdle()
 		c.discard()
 		return
+	case outside:
+		c.cancel(ErrCallerDisconnected)
+		return
 	}
 	status, ok := readErrorStatus(err)
 	if !ok {
@@ -302,8 +334,16 @@
 	c.discard()
 }
 
-// discard reads and drops input until the connection is closed.
+// discard reads and drops input until the caller closes the connection, which cancels the
+// requests in flight, or until the final response has been written for lingerTimeout.
 func (c *connection) discard() {
+	defer c.cancel(ErrCallerDisconnected)
+	c.mu.Lock()
+	if !c.finalWritten {
+		// An error means that the connection is closed, which the next read reports.
+		_ = c.conn.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
 	for {
 		if _, err := c.reader.Discard(c.reader.Size()); err != nil {
 			return
@@ -330,7 +370,7 @@
 		return fasthttp.StatusServiceUnavailable, true
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge, true
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case isTimeout(err):
 		return fasthttp.StatusRequestTimeout, true
 	case errors.As(err, &netErr), isDisconnect(err):
 		return 0, false
@@ -339,6 +379,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func isDisconnect(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
 }
--- a/internal/connection/ingress/ingress.go
+++ b/internal/connection/ingress/ingress.go
@@ -50,7 +50,10 @@
 	listener net.Listener
 	closing  atomic.Bool
 	active   atomic.Int64
-	done     sync.WaitGroup
+	// lingering is the number of connections whose final response was written and that
+	// the caller has not closed.
+	lingering atomic.Int64
+	done      sync.WaitGroup
 
 	// mu guards connections.
 	mu          sync.Mutex
@@ -95,6 +98,10 @@
 // Active returns the number of requests that are being served.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// Lingering returns the number of closing connections whose callers have not closed their
+// end, and may not have received all responses.
+func (s *Server) Lingering() int { return int(s.lingering.Load()) }
+
 // Drain closes each connection after a response that leaves no other request in flight
 // on it. Idle connections stay open for one more request.
 func (s *Server) Drain() { s.closing.Store(true) }
@@ -113,6 +120,7 @@
 
 // Close stops accepting connections, closes the open ones and waits until they have
 // ended. It cancels requests in flight; to avoid that, wait until Active returns 0.
+// Responses that a caller has not received are lost unless Lingering returns 0.
 func (s *Server) Close() {
 	s.closing.Store(true)
 	s.listener.Close()
--- /dev/null
+++ b/internal/connection/ingress/linger_test.go
@@ -0,0 +1,94 @@
+package ingress_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/ingress"
+)
+
+// largeBody is larger than the receive buffer of dialSlow, so that a reset loses a part of it.
+var largeBody = bytes.Repeat([]byte("x"), 100_000)
+
+// dialSlow connects as a caller whose small receive buffer leaves responses in the server's
+// send buffer until it reads them.
+func dialSlow(t *testing.T, s *ingress.Server) net.Conn {
+	t.Helper()
+	conn, _ := dial(t, s)
+	if err := conn.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+const getLarge = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// closingConnections are the ways in which the server closes a connection whose caller hasn't
+// read the response to getLarge yet.
+var closingConnections = map[string]func(t *testing.T, s *ingress.Server, conn net.Conn){
+	"planned stop": func(t *testing.T, s *ingress.Server, conn net.Conn) {
+		s.Drain()
+		send(t, conn, getLarge)
+	},
+	"idle connection of a planned stop": func(_ *testing.T, s *ingress.Server, _ net.Conn) { s.CloseIdle() },
+	"idle timeout":                      func(*testing.T, *ingress.Server, net.Conn) {},
+	"close requested by the caller": func(t *testing.T, _ *ingress.Server, conn net.Conn) {
+		send(t, conn, "GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	},
+	"malformed request": func(t *testing.T, _ *ingress.Server, conn net.Conn) { send(t, conn, "no request\r\n\r\n") },
+	"body too large": func(t *testing.T, _ *ingress.Server, conn net.Conn) {
+		send(t, conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n\r\n")
+	},
+	"headers too large": func(t *testing.T, _ *ingress.Server, conn net.Conn) {
+		send(t, conn, "GET / HTTP/1.1\r\nHost: a\r\nX-A: "+strings.Repeat("a", 6000)+"\r\n\r\n")
+	},
+	"no memory for the body": func(t *testing.T, _ *ingress.Server, conn net.Conn) {
+		send(t, conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n")
+	},
+	"headers too late": func(t *testing.T, _ *ingress.Server, conn net.Conn) { send(t, conn, "GET /never") },
+}
+
+// Guards against a closing connection that resets callers which go on sending before they
+// have read their responses: the rest of the responses was lost.
+func TestClosingConnectionDeliversUnreadResponses(t *testing.T) {
+	for name, closeConnection := range closingConnections {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var served atomic.Int64
+			serveLarge := func(_ context.Context, _ *fasthttp.Request, response *fasthttp.Response) {
+				response.SetBody(largeBody)
+				served.Add(1)
+			}
+			limits := func() ingress.Limits {
+				return ingress.Limits{HeaderBytes: 4096, BodyBytes: 10_000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
+			}
+			s, err := ingress.Listen("127.0.0.1:0", handler(serveLarge), limits, ingress.WithMaxHeldBytes(8000))
+			is.NoErr(err)
+			defer s.Close()
+			conn := dialSlow(t, s)
+			send(t, conn, getLarge)
+			waitUntil(t, func() bool { return served.Load() == 1 && s.Active() == 0 })
+			closeConnection(t, s, conn)
+			waitUntil(t, func() bool { return s.Lingering() == 1 })
+			time.Sleep(700 * time.Millisecond)
+			send(t, conn, getLarge)
+			time.Sleep(50 * time.Millisecond)
+			send(t, conn, getLarge)
+			received, err := io.ReadAll(conn)
+			is.NoErr(err) // a reset is an error
+			is.True(bytes.Count(received, []byte("x")) >= len(largeBody))
+			conn.Close()
+			waitUntil(t, func() bool { return s.Lingering() == 0 })
+		})
+	}
+}
--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -45,8 +45,8 @@
 	n.log.Emit(event.NodeStopped, log.Fields{"host": n.settings.Name, "took": n.clock.Now().Sub(start).String()})
 }
 
-// awaitIdle waits until no request has been running for idlePeriod, or until the grace
-// period is nearly over.
+// awaitIdle waits until no request has been running for idlePeriod and the callers have
+// closed their connections, or until the grace period is nearly over.
 func (n *Node) awaitIdle(start time.Time) {
 	idleSince := n.clock.Now()
 	idleClosed, handedOver := false, false
@@ -65,11 +65,12 @@
 		if running > 0 {
 			idleSince = now
 		}
-		if now.Sub(start) >= lameDuckPeriod && now.Sub(idleSince) >= idlePeriod {
+		lingering := n.callers.Lingering()
+		if now.Sub(start) >= lameDuckPeriod && now.Sub(idleSince) >= idlePeriod && lingering == 0 {
 			return
 		}
 		if now.Sub(start) >= time.Duration(n.grace.Load())-closeMargin {
-			n.log.Emit(event.RequestsUnfinished, log.Fields{"running": running})
+			n.log.Emit(event.RequestsUnfinished, log.Fields{"running": running, "lingering": lingering})
 			return
 		}
 		time.Sleep(idlePollInterval)
