Stop taking requests of callers that always pipeline when a node leaves

Cause: Connection: close is set only by a response that leaves no other request in flight. CloseIdle closes idle connections, and no path ends a connection that never becomes idle.

Ruled out: new connections (the listener is closed after 2.5 s).

Change: CloseIdle ends the reading of requests on all connections. What was taken before is answered, the last answer has Connection: close, and the caller knows that what it sent behind it was not read. The period before that is at most half of the grace period.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -146,7 +146,7 @@
 func (c *connection) startRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.finalWritten {
+	if c.finalWritten || c.server.refusing.Load() {
 		return errClosing
 	}
 	c.unanswered++
--- a/internal/connection/ingress/ingress.go
+++ b/internal/connection/ingress/ingress.go
@@ -48,8 +48,10 @@
 	limits   func() Limits
 	bodies   *byteBudget
 	listener net.Listener
-	closing  atomic.Bool
-	active   atomic.Int64
+	// closing is set once connections close after a response, refusing once no further
+	// request is served.
+	closing, refusing atomic.Bool
+	active            atomic.Int64
 	// lingering is the number of connections whose final response was written and that
 	// the caller has not closed.
 	lingering atomic.Int64
@@ -106,10 +108,12 @@
 // on it. Idle connections stay open for one more request.
 func (s *Server) Drain() { s.closing.Store(true) }
 
-// CloseIdle stops accepting connections and closes those without a request in flight.
-// A request that arrives while its connection is being closed isn't served.
+// CloseIdle stops accepting connections and requests. It closes the connections without a
+// request in flight, and the others after the response to their last request. A request
+// that arrives later isn't served.
 func (s *Server) CloseIdle() {
 	s.closing.Store(true)
+	s.refusing.Store(true)
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,6 +155,9 @@
 		s.mu.Lock()
 		s.connections[c] = struct{}{}
 		s.mu.Unlock()
+		if s.refusing.Load() {
+			c.closeIdle()
+		}
 		s.done.Go(func() {
 			c.serve()
 			s.mu.Lock()
--- a/internal/connection/ingress/linger_test.go
+++ b/internal/connection/ingress/linger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -92,3 +93,60 @@
 		})
 	}
 }
+
+// Guards against a server that takes requests until its end because a caller always has one
+// in flight: after CloseIdle only the requests taken before are answered, the last one with
+// Connection: close.
+func TestCloseIdleEndsPipelining(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}, 3), make(chan struct{})
+	s, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+		started <- struct{}{}
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		echo(ctx, request, response)
+	})
+	send(t, conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	<-started
+	s.CloseIdle()
+	send(t, conn, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	select {
+	case <-started:
+		t.Fatal("a request that was sent after CloseIdle is served")
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(release)
+	first, second := read(t, reader), read(t, reader)
+	is.True(!first.ConnectionClose())
+	is.Equal(string(second.Body()), "GET /2 ")
+	is.True(second.ConnectionClose())
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+	conn.Close()
+	waitUntil(t, func() bool { return s.Lingering() == 0 })
+}
+
+// A caller that disconnects while the server takes no more requests cancels those in flight.
+func TestDisconnectAfterCloseIdleCancelsRequests(t *testing.T) {
+	is := is.New(t)
+	started, causes := make(chan struct{}, 1), make(chan error, 1)
+	s, conn, _ := serve(t, func(ctx context.Context, _ *fasthttp.Request, _ *fasthttp.Response) {
+		started <- struct{}{}
+		<-ctx.Done()
+		causes <- context.Cause(ctx)
+	})
+	send(t, conn, getLarge)
+	<-started
+	s.CloseIdle()
+	send(t, conn, getLarge)
+	conn.Close()
+	select {
+	case err := <-causes:
+		is.True(errors.Is(err, ingress.ErrCallerDisconnected))
+	case <-time.After(testTimeout):
+		t.Fatal("the request is still running after its caller disconnected")
+	}
+}
--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	// lameDuckPeriod is how long a leaving node still accepts new requests. Callers
-	// stop sending only after two failed readiness checks, which are a second apart.
+	// lameDuckPeriod is how long a leaving node still accepts new requests, at most half of
+	// the grace period: what it accepts needs time to end. Callers stop sending only after
+	// two failed readiness checks, which are a second apart.
 	lameDuckPeriod = 2500 * time.Millisecond
 	// handoverPeriod is how long other nodes still send requests to the backend server of a
 	// leaving node, at most a quarter of the grace period. It keeps running, and the node
 	// has to stay for lameDuckPeriod anyway.
 	handoverPeriod = time.Second
-	// idlePeriod is the time without running requests that ends the shutdown wait
-	// after lameDuckPeriod.
+	// idlePeriod is the time without running requests that ends the shutdown once the node
+	// accepts none.
 	idlePeriod = 200 * time.Millisecond
 	// closeMargin is the part of the grace period reserved for closing listeners and
 	// connections.
@@ -52,12 +53,14 @@
 	idleClosed, handedOver := false, false
 	for {
 		now := n.clock.Now()
-		if !handedOver && (now.Sub(start) >= min(handoverPeriod, time.Duration(n.grace.Load())/4) || n.backend.Backend().State != fleet.Serving) {
+		grace := time.Duration(n.grace.Load())
+		accepting := now.Sub(start) < min(lameDuckPeriod, grace/2)
+		if !handedOver && (now.Sub(start) >= min(handoverPeriod, grace/4) || n.backend.Backend().State != fleet.Serving) {
 			n.record.markLeaving()
 			n.notifyPeers()
 			handedOver = true
 		}
-		if !idleClosed && now.Sub(start) >= lameDuckPeriod {
+		if !idleClosed && !accepting {
 			n.callers.CloseIdle()
 			idleClosed = true
 		}
@@ -66,10 +69,10 @@
 			idleSince = now
 		}
 		lingering := n.callers.Lingering()
-		if now.Sub(start) >= lameDuckPeriod && now.Sub(idleSince) >= idlePeriod && lingering == 0 {
+		if !accepting && now.Sub(idleSince) >= idlePeriod && lingering == 0 {
 			return
 		}
-		if now.Sub(start) >= time.Duration(n.grace.Load())-closeMargin {
+		if now.Sub(start) >= grace-closeMargin {
 			n.log.Emit(event.RequestsUnfinished, log.Fields{"running": running, "lingering": lingering})
 			return
 		}
