Refuse work that a leaving node would cut

Cause: nothing compares how long a request usually takes with the time that is left.

Considered: refusing whatever could outlast the node by its timeout; with timeouts near the grace period that refuses nearly all that a leaving node gets, though nearly all of it would be answered.

Change: package departure keeps the recent durations by route. A leaving node refuses a request (503, Retry-After, not run) if the 99th percentile of its route, the 90th if it may be repeated, exceeds the time left. The executing node does the same for the orders of other nodes.

--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -54,6 +54,8 @@
 	for {
 		now := n.clock.Now()
 		grace := time.Duration(n.grace.Load())
+		n.entryGate.Leave(start.Add(grace - closeMargin))
+		n.executionGate.Leave(start.Add(grace - closeMargin))
 		accepting := now.Sub(start) < min(lameDuckPeriod, grace/2)
 		if !handedOver && (now.Sub(start) >= min(handoverPeriod, grace/4) || n.backend.Backend().State != fleet.Serving) {
 			n.record.markLeaving()
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -33,6 +33,8 @@
 	// retryAfterDivisor divides the remaining time of a refused request to get its
 	// retry delay, which leaves most of that time for the retry.
 	retryAfterDivisor = 6
+	// outlastsDetail explains the refusal of a request by a leaving node.
+	outlastsDetail = "requests like this one take longer than the time that is left"
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -79,6 +81,15 @@
 	Return(a traffic.Account, rank int)
 }
 
+// A Departure decides which requests a leaving node still accepts.
+type Departure interface {
+	// Accept reports whether a request of a route may start, and repeatable whether it may
+	// run more than once.
+	Accept(route string, repeatable bool) bool
+	// Record records the duration of an answered request.
+	Record(route string, took time.Duration)
+}
+
 // An Entry serves the requests that callers send to a node. It is safe for concurrent
 // use.
 type Entry struct {
@@ -87,6 +98,7 @@
 	configuration Configuration
 	rateLimiter   RateLimiter
 	rootAdmitter  RootAdmitter
+	departure     Departure
 	sender        *Sender
 	running       *RunningRequests
 	dialect       Dialect
@@ -110,6 +122,7 @@
 	Configuration Configuration
 	RateLimiter   RateLimiter
 	RootAdmitter  RootAdmitter
+	Departure     Departure
 	Sender        *Sender
 	Running       *RunningRequests
 	Dialect       Dialect
@@ -122,7 +135,7 @@
 func NewEntry(d EntryDeps) *Entry {
 	return &Entry{
 		host: d.Host, service: d.Service, configuration: d.Configuration, rateLimiter: d.RateLimiter, rootAdmitter: d.RootAdmitter,
-		sender: d.Sender, running: d.Running, dialect: d.Dialect, clock: d.Clock, log: d.Log, counter: d.Counter,
+		departure: d.Departure, sender: d.Sender, running: d.Running, dialect: d.Dialect, clock: d.Clock, log: d.Log, counter: d.Counter,
 		retries: newRetryDetector(),
 	}
 }
@@ -166,6 +179,9 @@
 	if err != nil {
 		return Order{}, route, err
 	}
+	if !e.departure.Accept(route.Name, route.Idempotent) {
+		return Order{}, route, refusal.New(refusal.Leaving).WithRetryAfter(noCapacityRetryAfter).WithDetail(outlastsDetail)
+	}
 	c := newContext(now, m, route, account, snapshot.Version())
 	parent, child := e.running.RecordCall(m.Parent, route.Name)
 	if child {
@@ -326,6 +342,9 @@
 			"retry-after": named.RetryAfter.String(), "detail": named.Detail, "host": r.Host,
 		})
 	}
+	if reason == "" {
+		e.departure.Record(route.Name, elapsed)
+	}
 	e.counter.Count(reason, route.Target, elapsed)
 	e.dialect.Answer(response, m.ID, answer)
 }
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -57,6 +57,7 @@
 	backendServer BackendServer
 	quarantine    execute.Quarantine
 	admission     execute.Admission
+	departure     Departure
 	running       *RunningRequests
 	usage         UsageRecorder
 	dialect       Dialect
@@ -71,6 +72,7 @@
 	// Quarantine refuses requests that crash backend servers.
 	Quarantine execute.Quarantine
 	Admission  execute.Admission
+	Departure  Departure
 	Running    *RunningRequests
 	Usage      UsageRecorder
 	Dialect    Dialect
@@ -82,7 +84,7 @@
 func NewExecutor(d ExecutorDeps) *Executor {
 	return &Executor{
 		host: d.Host, backendServer: d.BackendServer, quarantine: d.Quarantine, admission: d.Admission,
-		running: d.Running, usage: d.Usage, dialect: d.Dialect, clock: d.Clock, log: d.Log,
+		departure: d.Departure, running: d.Running, usage: d.Usage, dialect: d.Dialect, clock: d.Clock, log: d.Log,
 	}
 }
 
@@ -99,7 +101,11 @@
 	if o.Status.Limited {
 		x.backendServer.AdoptStatus(o.Backend, o.Status)
 	}
+	started := x.clock.Now()
 	result := x.execute(ctx, o)
+	if result.Answer.Refusal == nil {
+		x.departure.Record(o.Route, x.clock.Now().Sub(started))
+	}
 	answer := result.Answer.WithLoad(x.admission.Load()).WithBackend(x.backendServer.Report())
 	if !result.Sent {
 		answer = answer.WithUnusedAttempts(1)
@@ -120,6 +126,9 @@
 	if _, _, err := x.ready(o); err != nil {
 		return execute.Result{Answer: refusalAnswer(err)}
 	}
+	if !x.departure.Accept(o.Route, o.Context.Idempotent) {
+		return execute.Result{Answer: exchange.Refused(refusal.New(refusal.Leaving).WithRetryAfter(noCapacityRetryAfter).WithDetail(outlastsDetail))}
+	}
 	tracker, err := x.quarantine.Check(ctx, o.subject())
 	if err != nil {
 		return execute.Result{Answer: refusalAnswer(err)}
