Deliver replies before a leaving node closes its trunks

Replies that wait in the queue of a trunk were not counted as running.

Change: a leaving node waits until its replies are written, closes the write sides and waits up to 200 ms for the others to close. A peer that doesn't respond is not waited for.

Result: TestCloseWriteDeliversReplies fails if the trunk is closed as before (the connection between the nodes was lost), and passes.

--- a/internal/connection/trunk/trunk.go
+++ b/internal/connection/trunk/trunk.go
@@ -149,6 +149,23 @@
 	t.silence.release()
 }
 
+// Replying reports whether the peer waits for a reply that was not completely written yet.
+// A peer that doesn't respond doesn't count.
+func (t *Trunk) Replying() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.closed && !t.silence.silent && (len(t.serving) > 0 || t.writing)
+}
+
+// CloseWrite closes the write side. The peer closes the trunk once it has received all that
+// was written; closing it here could send a reset, which discards the rest.
+func (t *Trunk) CloseWrite() {
+	closer, ok := t.conn.(interface{ CloseWrite() error })
+	if !ok || closer.CloseWrite() != nil {
+		t.Close()
+	}
+}
+
 // Do sends a call and waits for the body of its reply. It fails with ErrNotSent if the
 // peer can't have received the call, and with ErrClosed if the trunk closed before the
 // reply. A call that is abandonable also fails with ErrSilent, once the peer doesn't
@@ -336,12 +353,12 @@
 	t.mu.Unlock()
 	go func() {
 		reply := t.handler.HandleCall(ctx, m.body)
-		t.mu.Lock()
-		delete(t.serving, m.callID)
-		t.mu.Unlock()
 		cancel()
 		// A reply that can't be sent is lost; the caller gets ErrClosed once the trunk
 		// closes.
 		_ = t.send(kindReply, m.callID, reply)
+		t.mu.Lock()
+		delete(t.serving, m.callID)
+		t.mu.Unlock()
 	}()
 }
--- a/internal/connection/trunk/trunk_test.go
+++ b/internal/connection/trunk/trunk_test.go
@@ -215,3 +215,55 @@
 		t.Fatal("trunk still open after invalid input")
 	}
 }
+
+// A slowReader reads from a connection with a pause before each read.
+type slowReader struct {
+	net.Conn
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(r.pause)
+	return r.Conn.Read(p)
+}
+
+// CloseWrite closes the write side.
+func (r slowReader) CloseWrite() error { return r.Conn.(*net.TCPConn).CloseWrite() }
+
+// Guards against a node that ends after it has written a reply, and resets the connection
+// because the other node goes on sending.
+func TestCloseWriteDeliversReplies(t *testing.T) {
+	is := is.New(t)
+	near, far := connections(t)
+	reply := strings.Repeat("x", 2<<20)
+	caller := trunk.New(slowReader{near, 2 * time.Millisecond}, handler{}, testTimeout, clock.System{})
+	server := trunk.New(far, handler{call: func(context.Context, string) any { return reply }}, testTimeout, clock.System{})
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = caller.Run() }) // Returns once the server has closed its side.
+	tasks.Go(func() { _ = server.Run() }) // Returns once the caller has closed.
+	result := make(chan error, 1)
+	tasks.Go(func() {
+		body, err := caller.Do(t.Context(), "call", false)
+		var text string
+		if err == nil {
+			err = trunk.Decode(body, &text)
+		}
+		if err == nil && text != reply {
+			err = errors.New("the reply is incomplete")
+		}
+		result <- err
+	})
+	for !server.Replying() {
+		time.Sleep(time.Millisecond)
+	}
+	for server.Replying() {
+		time.Sleep(time.Millisecond)
+	}
+	server.CloseWrite()
+	for caller.Notify("notice") == nil {
+		time.Sleep(time.Millisecond) // until the caller has received the end
+	}
+	is.NoErr(<-result)
+	tasks.Wait()
+}
--- a/internal/process/mesh/link.go
+++ b/internal/process/mesh/link.go
@@ -25,6 +25,8 @@
 	// dialDeferral is how long the host with the greater name waits for the other
 	// one to dial, so that a pair of hosts rarely has two trunks.
 	dialDeferral = 500 * time.Millisecond
+	// closeTimeout bounds how long a closing node waits for the others to close their ends.
+	closeTimeout = 200 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 100 * time.Millisecond
 	// maxQuietSmall and maxQuietLarge are the times without data after which a peer is
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -176,17 +176,48 @@
 	}
 }
 
-// Close closes the listener and all trunks, and waits for their goroutines.
+// Replying returns the number of nodes that wait for a reply of this one.
+func (m *Mesh) Replying() int {
+	replying := 0
+	for _, l := range m.openLinks() {
+		if l.trunk.Replying() {
+			replying++
+		}
+	}
+	return replying
+}
+
+// Close closes the listener and all trunks, and waits for their goroutines. Nodes that
+// respond receive what was written to them.
 func (m *Mesh) Close() {
 	m.mu.Lock()
 	m.closed = true
 	m.cancel()
 	m.listener.Close()
-	for l := range m.links {
+	m.mu.Unlock()
+	for _, l := range m.openLinks() {
+		l.trunk.CloseWrite()
+	}
+	ended := make(chan struct{})
+	go func() {
+		m.tasks.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return
+	case <-time.After(closeTimeout):
+	}
+	for _, l := range m.openLinks() {
 		l.trunk.Close()
 	}
-	m.mu.Unlock()
-	m.tasks.Wait()
+	<-ended
+}
+
+func (m *Mesh) openLinks() []*link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.links))
 }
 
 // Connected reports whether there is a trunk to a host that responds.
--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -66,8 +66,8 @@
 			n.callers.CloseIdle()
 			idleClosed = true
 		}
-		running := n.callers.Active() + n.admission.Load().Running
-		if running > 0 {
+		running, replying := n.callers.Active()+n.admission.Load().Running, n.mesh.Replying()
+		if running+replying > 0 {
 			idleSince = now
 		}
 		lingering := n.callers.Lingering()
@@ -75,7 +75,7 @@
 			return
 		}
 		if now.Sub(start) >= grace-closeMargin {
-			n.log.Emit(event.RequestsUnfinished, log.Fields{"running": running, "lingering": lingering})
+			n.log.Emit(event.RequestsUnfinished, log.Fields{"running": running, "replying": replying, "lingering": lingering})
 			return
 		}
 		time.Sleep(idlePollInterval)
