Wait for memory instead of failing answers while others are without end

Memory itself is bounded already.

Cause: the limit on the bytes of all incomplete answers fails the answer whose read exceeds it, whichever that is.

Ruled out: one answer that takes all (it ends at 5 MiB of 32).

Change: connections stop reading while the limit is reached; 64 KiB of each answer and one whole answer at a time are read in any case.

--- a/internal/connection/backend/link.go
+++ b/internal/connection/backend/link.go
@@ -41,14 +41,15 @@
 // was not sent.
 var ErrUnreachable = eris.New("the backend server could not be reached")
 
-// ErrTooMuchBuffered means that the incomplete answers of the backend server are larger
-// than what may be held of them at once.
-var ErrTooMuchBuffered = eris.New("the answers of the backend server are too large")
+// ErrAnswerTooLarge means that an answer of the backend server with its head, chunk lengths
+// and trailer is larger than a node holds of one answer.
+var ErrAnswerTooLarge = eris.New("the answer of the backend server is too large")
 
 // A LinkOption changes a Link's settings.
 type LinkOption func(*Link)
 
-// WithMaxBufferedBytes limits the bytes of incomplete answers that are held at once.
+// WithMaxBufferedBytes limits the bytes of incomplete answers that are held at once. Beyond
+// it one answer at a time is read further, and the first 64 KiB of each.
 func WithMaxBufferedBytes(n int64) LinkOption {
 	return func(l *Link) { l.pool.buffered.limit = n }
 }
@@ -77,7 +78,7 @@
 }
 
 // BufferedBytes returns the bytes of incomplete answers that are held.
-func (l *Link) BufferedBytes() int64 { return l.pool.buffered.bytes.Load() }
+func (l *Link) BufferedBytes() int64 { return l.pool.buffered.held() }
 
 // Refuses reports whether the backend server refuses connections at some time after since.
 // After a connection broke, this tells a process that has ended from a lost answer or a
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -10,7 +10,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +30,9 @@
 	// held at once. Answers take a few kilobytes; a backend server that sends bytes
 	// without end must not use up the memory of its node.
 	defaultMaxBufferedBytes = 32 << 20
+	// unlimitedAnswerBytes of each answer are read whatever is held of others, so that
+	// large answers don't delay small ones.
+	unlimitedAnswerBytes = 64 << 10
 )
 
 // A connection is one HTTP/1.1 connection to the backend server. It carries one
@@ -48,21 +50,30 @@
 	// counted is the part that this connection's answer has.
 	buffered *bufferLimit
 	counted  int64
+	// ctx is the context of the current request.
+	ctx context.Context
 }
 
-// Read implements io.Reader. It counts what arrives of the current answer.
+// Read implements io.Reader. It counts what arrives of the current answer, and waits while
+// the answers of all connections are too large.
 func (c *connection) Read(p []byte) (int, error) {
+	if c.counted >= unlimitedAnswerBytes {
+		if err := c.buffered.await(c.ctx, c); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(p)
 	c.counted += int64(n)
-	if !c.buffered.add(int64(n)) || c.counted > maxAnswerBytes {
-		return n, ErrTooMuchBuffered
+	c.buffered.add(int64(n))
+	if c.counted > maxAnswerBytes {
+		return n, ErrAnswerTooLarge
 	}
 	return n, err
 }
 
 // release ends the counting of an answer, which the caller now holds.
 func (c *connection) release() {
-	c.buffered.add(-c.counted)
+	c.buffered.release(c, c.counted)
 	c.counted = 0
 }
 
@@ -70,11 +81,76 @@
 // concurrent use.
 type bufferLimit struct {
 	limit int64
-	bytes atomic.Int64
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	bytes int64
+	// preferred is the connection that reads on while the limit is reached, so that an
+	// answer ends; nil if none does.
+	preferred *connection
+	// released is closed when bytes are released; nil if no connection waits.
+	released chan struct{}
+}
+
+// await waits until a connection may read on. It fails if the context ends before that.
+func (l *bufferLimit) await(ctx context.Context, c *connection) error {
+	for {
+		released := l.proceed(c)
+		if released == nil {
+			return nil
+		}
+		select {
+		case <-released:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for memory: %w", context.Cause(ctx))
+		}
+	}
+}
+
+// proceed returns nil if a connection may read on, else a channel that is closed when it
+// should try again.
+func (l *bufferLimit) proceed(c *connection) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bytes < l.limit || l.preferred == c {
+		return nil
+	}
+	if l.preferred == nil {
+		l.preferred = c
+		return nil
+	}
+	if l.released == nil {
+		l.released = make(chan struct{})
+	}
+	return l.released
+}
+
+func (l *bufferLimit) add(n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes += n
 }
 
-// add counts bytes and reports whether the total is within the limit.
-func (l *bufferLimit) add(n int64) bool { return l.bytes.Add(n) <= l.limit }
+// release subtracts the bytes of a connection's answer, which has ended.
+func (l *bufferLimit) release(c *connection, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes -= n
+	if l.preferred == c {
+		l.preferred = nil
+	}
+	if l.released != nil {
+		close(l.released)
+		l.released = nil
+	}
+}
+
+// held returns the bytes that are held.
+func (l *bufferLimit) held() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
 
 // A pool holds the connections to one backend server and limits their number. It is
 // safe for concurrent use.
@@ -104,6 +180,7 @@
 		return nil, fmt.Errorf("wait for a connection: %w", ctx.Err())
 	}
 	if c := p.takeIdle(now, id); c != nil {
+		c.ctx = ctx
 		return c, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -113,7 +190,7 @@
 		return nil, fmt.Errorf("connect to backend server %s: %w", p.address, err)
 	}
 	c := &connection{
-		Conn: raw, buffered: p.buffered, writer: bufio.NewWriterSize(raw, bufferBytes), rejected: make(map[uint64]struct{}),
+		Conn: raw, ctx: ctx, buffered: p.buffered, writer: bufio.NewWriterSize(raw, bufferBytes), rejected: make(map[uint64]struct{}),
 	}
 	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	return c, nil
