--- a/internal/process/event/sidecar.go
+++ b/internal/process/event/sidecar.go
@@ -13,7 +13,7 @@
 	ListenerStopped    = define(1506, "listener-stopped", log.ErrorLevel, "The node no longer accepts connections from other nodes.")
 	NoticeUnreadable   = define(1507, "notice-unreadable", log.WarnLevel, "A notice from another node could not be decoded and was ignored.")
 	LinesDropped       = define(1508, "log-lines-dropped", log.WarnLevel, "Log lines were dropped because they exceeded the rate limit or the output was not read.")
-	RequestsUnfinished = define(1509, "requests-unfinished", log.WarnLevel, "The shutdown ended before all requests were answered.")
+	RequestsUnfinished = define(1509, "requests-unfinished", log.WarnLevel, "The shutdown ended before all requests were answered and all callers and nodes had closed their connections; the numbers are given.")
 	BackendStatus      = define(1510, "backend-server-status", log.InfoLevel, "The backend server of this host states in its answers a new request limit, the end of one, or that it is leaving; the requests sent to it since its previous statement are given.")
 	RequestLost        = define(1512, "request-lost", log.WarnLevel, "The connection to the backend server broke while it ran a request; requests of the same client account with the same method, path and body have the same content.")
 	StatusUnreadable   = define(1511, "backend-server-status-unreadable", log.WarnLevel, "An answer of the backend server states a malformed request limit or departure, which was ignored.")
