Don't count a connection as idle while its response is sent

Cause: a request counted as answered before its response was sent, so that closeIdle and the idle timeout took the connection for idle. A final response that took longer to send than the idle timeout also ended the reading, and the connection was closed as soon as the response was sent.

Change: a request is answered once its response was sent; reading goes on for lingerTimeout from then.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -51,7 +51,7 @@
 	mu         sync.Mutex
 	unanswered int
 	// finalWritten is set once no further response will be written. The connection then
-	// only waits for the caller to close its end.
+	// waits for the caller to close its end.
 	finalWritten bool
 }
 
@@ -231,27 +231,30 @@
 }
 
 // write writes a response. The final one of a connection has a Connection: close header.
-// Responses after the final one are discarded.
+// Responses after the final one are discarded. The request counts as unanswered until its
+// response was sent.
 func (c *connection) write(response *fasthttp.Response, closeRequested bool) {
 	c.mu.Lock()
-	c.unanswered--
 	discarded := c.finalWritten
-	final := !discarded && (closeRequested || response.ConnectionClose() || c.server.closing.Load() && c.unanswered == 0)
+	final := !discarded && (closeRequested || response.ConnectionClose() || c.server.closing.Load() && c.unanswered == 1)
 	if final {
 		c.markFinal()
 		response.SetConnectionClose()
 	}
 	c.mu.Unlock()
-	if discarded || c.ctx.Err() != nil {
-		return
-	}
-	if err := c.send(response); err != nil {
-		c.cancel(ErrCallerDisconnected)
-		c.conn.Close()
-		return
+	if !discarded && c.ctx.Err() == nil {
+		if err := c.send(response); err != nil {
+			c.cancel(ErrCallerDisconnected)
+			c.conn.Close()
+		} else if final {
+			c.closeWrite()
+		}
 	}
-	if final {
-		c.closeWrite()
+	c.mu.Lock()
+	c.unanswered--
+	c.mu.Unlock()
+	if c.server.refusing.Load() {
+		c.closeIdle()
 	}
 }
 
@@ -339,10 +342,12 @@
 func (c *connection) discard() {
 	defer c.cancel(ErrCallerDisconnected)
 	c.mu.Lock()
-	if !c.finalWritten {
-		// An error means that the connection is closed, which the next read reports.
-		_ = c.conn.SetReadDeadline(time.Time{})
+	var deadline time.Time
+	if c.finalWritten {
+		deadline = time.Now().Add(lingerTimeout)
 	}
+	// An error means that the connection is closed, which the next read reports.
+	_ = c.conn.SetReadDeadline(deadline)
 	c.mu.Unlock()
 	for {
 		if _, err := c.reader.Discard(c.reader.Size()); err != nil {
