Name the package of a leaving node's time lifetime

Cause: the glossary has departure for what a backend server states. Result: names and text only; the tests of the package and of relay pass.

--- a/internal/process/departure/departure.go
+++ b/internal/process/lifetime/lifetime.go
@@ -1,7 +1,7 @@
-// Package departure decides which requests a leaving node still accepts: those that are
+// Package lifetime decides which requests a leaving node still accepts: those that are
 // likely to end before the node does. Package relay asks it for each request, package sidecar
 // sets the end.
-package departure
+package lifetime
 
 import (
 	"sync"
--- a/internal/process/departure/departure_test.go
+++ b/internal/process/lifetime/lifetime_test.go
@@ -1,4 +1,4 @@
-package departure_test
+package lifetime_test
 
 import (
 	"testing"
@@ -7,14 +7,14 @@
 	"github.com/matryer/is"
 
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
-	"github.com/bilberryvane/bilberryvane/internal/process/departure"
+	"github.com/bilberryvane/bilberryvane/internal/process/lifetime"
 )
 
 // newGate returns a gate of a node that ends in five seconds, after 94 requests of 100 ms and
 // 6 of 4 s.
-func newGate() (*departure.Gate, *clock.Fake) {
+func newGate() (*lifetime.Gate, *clock.Fake) {
 	c := clock.NewFake(time.Unix(1000, 0))
-	g := departure.NewGate(c)
+	g := lifetime.NewGate(c)
 	for i := range 100 {
 		took := 100 * time.Millisecond
 		if i < 6 {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -20,9 +20,9 @@
 	"github.com/bilberryvane/bilberryvane/internal/process/backendserver"
 	"github.com/bilberryvane/bilberryvane/internal/process/clock"
 	"github.com/bilberryvane/bilberryvane/internal/process/demand"
-	"github.com/bilberryvane/bilberryvane/internal/process/departure"
 	"github.com/bilberryvane/bilberryvane/internal/process/event"
 	"github.com/bilberryvane/bilberryvane/internal/process/fleet"
+	"github.com/bilberryvane/bilberryvane/internal/process/lifetime"
 	"github.com/bilberryvane/bilberryvane/internal/process/mesh"
 	"github.com/bilberryvane/bilberryvane/internal/process/quota"
 	"github.com/bilberryvane/bilberryvane/internal/process/suspects"
@@ -91,7 +91,7 @@
 	counters      *counters
 	// entryGate and executionGate decide which requests of callers, and which orders, a
 	// leaving node accepts.
-	entryGate, executionGate *departure.Gate
+	entryGate, executionGate *lifetime.Gate
 	loads                    *zoneload.Collector
 	mesh                     *mesh.Mesh
 	callers                  *ingress.Server
@@ -117,7 +117,7 @@
 		directory: fleet.NewDirectory(), quota: quota.New(s.Name, s.Zone, s.FirstStart, s.RateTolerance, d.Clock),
 		planner: demand.New(s.Name, retryShare*s.Retries.Share, d.Clock),
 	}
-	n.entryGate, n.executionGate = departure.NewGate(d.Clock), departure.NewGate(d.Clock)
+	n.entryGate, n.executionGate = lifetime.NewGate(d.Clock), lifetime.NewGate(d.Clock)
 	n.grace.Store(int64(s.Grace))
 	n.configuration = &configuration{decode: d.Decode, log: d.Log, onChange: n.notifyPeers}
 	n.record = &hostRecord{
@@ -152,7 +152,7 @@
 		quarantine.WithStrikeLimit(strikeLimit), quarantine.WithConcurrentSuspects())
 	n.suspects = suspects.NewFilter(n.settings.Name, strikes, strikePublisher{n}, n.clock, n.log)
 	executor := relay.NewExecutor(relay.ExecutorDeps{
-		Host: n.settings.Name, BackendServer: n.backend, Quarantine: n.suspects, Admission: n.admission, Departure: n.executionGate, Running: running, Usage: n.planner,
+		Host: n.settings.Name, BackendServer: n.backend, Quarantine: n.suspects, Admission: n.admission, Lifetime: n.executionGate, Running: running, Usage: n.planner,
 		Dialect: n.deps.Dialect, Clock: n.clock, Log: n.log,
 	})
 	var err error
@@ -170,7 +170,7 @@
 		Local:  executor, Transport: n.mesh, Clock: n.clock,
 	})
 	entry := relay.NewEntry(relay.EntryDeps{
-		Host: n.settings.Name, Service: n.settings.Service, Configuration: n.configuration, RateLimiter: NewRateLimiter(n.settings.Name, n.quota, n.mesh, n.clock), RootAdmitter: n.planner, Departure: n.entryGate,
+		Host: n.settings.Name, Service: n.settings.Service, Configuration: n.configuration, RateLimiter: NewRateLimiter(n.settings.Name, n.quota, n.mesh, n.clock), RootAdmitter: n.planner, Lifetime: n.entryGate,
 		Sender: sender, Running: running, Dialect: n.deps.Dialect, Clock: n.clock, Log: n.log, Counter: n.counters,
 	})
 	for _, l := range []struct {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -81,8 +81,8 @@
 	Return(a traffic.Account, rank int)
 }
 
-// A Departure decides which requests a leaving node still accepts.
-type Departure interface {
+// A Lifetime decides which requests a leaving node still accepts.
+type Lifetime interface {
 	// Accept reports whether a request of a route may start, and repeatable whether it may
 	// run more than once.
 	Accept(route string, repeatable bool) bool
@@ -98,7 +98,7 @@
 	configuration Configuration
 	rateLimiter   RateLimiter
 	rootAdmitter  RootAdmitter
-	departure     Departure
+	lifetime      Lifetime
 	sender        *Sender
 	running       *RunningRequests
 	dialect       Dialect
@@ -122,7 +122,7 @@
 	Configuration Configuration
 	RateLimiter   RateLimiter
 	RootAdmitter  RootAdmitter
-	Departure     Departure
+	Lifetime      Lifetime
 	Sender        *Sender
 	Running       *RunningRequests
 	Dialect       Dialect
@@ -135,7 +135,7 @@
 func NewEntry(d EntryDeps) *Entry {
 	return &Entry{
 		host: d.Host, service: d.Service, configuration: d.Configuration, rateLimiter: d.RateLimiter, rootAdmitter: d.RootAdmitter,
-		departure: d.Departure, sender: d.Sender, running: d.Running, dialect: d.Dialect, clock: d.Clock, log: d.Log, counter: d.Counter,
+		lifetime: d.Lifetime, sender: d.Sender, running: d.Running, dialect: d.Dialect, clock: d.Clock, log: d.Log, counter: d.Counter,
 		retries: newRetryDetector(),
 	}
 }
@@ -179,7 +179,7 @@
 	if err != nil {
 		return Order{}, route, err
 	}
-	if !e.departure.Accept(route.Name, route.Idempotent) {
+	if !e.lifetime.Accept(route.Name, route.Idempotent) {
 		return Order{}, route, refusal.New(refusal.Leaving).WithRetryAfter(noCapacityRetryAfter).WithDetail(outlastsDetail)
 	}
 	c := newContext(now, m, route, account, snapshot.Version())
@@ -343,7 +343,7 @@
 		})
 	}
 	if reason == "" {
-		e.departure.Record(route.Name, elapsed)
+		e.lifetime.Record(route.Name, elapsed)
 	}
 	e.counter.Count(reason, route.Target, elapsed)
 	e.dialect.Answer(response, m.ID, answer)
--- a/internal/request/relay/executor.go
+++ b/internal/request/relay/executor.go
@@ -57,7 +57,7 @@
 	backendServer BackendServer
 	quarantine    execute.Quarantine
 	admission     execute.Admission
-	departure     Departure
+	lifetime      Lifetime
 	running       *RunningRequests
 	usage         UsageRecorder
 	dialect       Dialect
@@ -72,7 +72,7 @@
 	// Quarantine refuses requests that crash backend servers.
 	Quarantine execute.Quarantine
 	Admission  execute.Admission
-	Departure  Departure
+	Lifetime   Lifetime
 	Running    *RunningRequests
 	Usage      UsageRecorder
 	Dialect    Dialect
@@ -84,7 +84,7 @@
 func NewExecutor(d ExecutorDeps) *Executor {
 	return &Executor{
 		host: d.Host, backendServer: d.BackendServer, quarantine: d.Quarantine, admission: d.Admission,
-		departure: d.Departure, running: d.Running, usage: d.Usage, dialect: d.Dialect, clock: d.Clock, log: d.Log,
+		lifetime: d.Lifetime, running: d.Running, usage: d.Usage, dialect: d.Dialect, clock: d.Clock, log: d.Log,
 	}
 }
 
@@ -104,7 +104,7 @@
 	started := x.clock.Now()
 	result := x.execute(ctx, o)
 	if result.Answer.Refusal == nil {
-		x.departure.Record(o.Route, x.clock.Now().Sub(started))
+		x.lifetime.Record(o.Route, x.clock.Now().Sub(started))
 	}
 	answer := result.Answer.WithLoad(x.admission.Load()).WithBackend(x.backendServer.Report())
 	if !result.Sent {
@@ -126,7 +126,7 @@
 	if _, _, err := x.ready(o); err != nil {
 		return execute.Result{Answer: refusalAnswer(err)}
 	}
-	if !x.departure.Accept(o.Route, o.Context.Idempotent) {
+	if !x.lifetime.Accept(o.Route, o.Context.Idempotent) {
 		return execute.Result{Answer: exchange.Refused(refusal.New(refusal.Leaving).WithRetryAfter(noCapacityRetryAfter).WithDetail(outlastsDetail))}
 	}
 	tracker, err := x.quarantine.Check(ctx, o.subject())
