Show that large orders end the nodes that execute them

A node takes every order of other nodes with its body, whatever it holds already, so that upstreams that read slowly make it exceed its memory.

--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -99,11 +100,7 @@
 	_ = os.RemoveAll(f.folder) // The folder is temporary anyway.
 }
 
-// ran returns how often a request has run at all upstreams together.
-func (f *fleet) ran(id string) int {
-	runs := 0
-	for _, u := range f.upstreams {
-		runs += u.ran(id)
-	}
-	return runs
+// passedOn reports whether a request was passed on to an upstream.
+func (f *fleet) passedOn(id string) bool {
+	return slices.ContainsFunc(f.upstreams, func(u *upstream) bool { return u.hasGot(id) })
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -15,6 +15,20 @@
 	exitNotRun = 2
 )
 
+// A testCase is a case of the review.
+type testCase struct {
+	// run plays the case, with its disruption if trouble is set, and counts what breaks the rule.
+	run     func(r *record, trouble bool) (int, error)
+	what    string
+	allowed int
+}
+
+var cases = map[string]testCase{
+	"slow":   {runSlow, "orders that were passed on ended without an answer", allowedLost},
+	"upload": {runUpload, "orders that were passed on ended without an answer", allowedLost},
+	"ids":    {runIDs, "requests ran with another tenant than that of their key", 0},
+}
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
@@ -29,21 +43,21 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	var lost int
-	switch name {
-	case "slow":
-		lost, err = runSlow(r, trouble)
-	default:
-		err = fmt.Errorf("no case %q", name)
+	c, ok := cases[name]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "no case %q\n", name)
+		return exitNotRun
 	}
+	found, err := c.run(r, trouble)
 	if err != nil {
 		r.add("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	r.add("%d requests were lost; the rule allows %d", lost, allowedLost)
-	fmt.Printf("%d requests were lost; the rule allows %d\n", lost, allowedLost)
-	if lost > allowedLost {
+	result := fmt.Sprintf("%d %s; the rule allows %d", found, c.what, c.allowed)
+	r.add("%s", result)
+	fmt.Println(result)
+	if found > c.allowed {
 		return exitBroken
 	}
 	return exitHeld
--- a/review/_standin2/node.go
+++ b/review/_standin2/node.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -44,20 +46,36 @@
 	done             sync.WaitGroup
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
+// The ports of the nodes are below the range from which the system assigns ports to outgoing
+// connections, so that no connection takes one between its choice and its use.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// nextPort is the offset of the port that is tried next.
+var nextPort = rand.IntN(portCount)
+
+// freeAddresses returns loopback addresses that nothing listens on. It is called by one goroutine.
 func freeAddresses(n int) ([]string, error) {
 	var all []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+nextPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		listener.Close()
+		if all = append(all, address); len(all) == n {
+			return all, nil
 		}
-		defer listener.Close()
-		all = append(all, listener.Addr().String())
 	}
-	return all, nil
+	return nil, errNoPort
 }
 
+var errNoPort = errors.New("no free port")
+
 func newNode(name, zone string, u *upstream, folder string, r *record) (*node, error) {
 	a, err := freeAddresses(5)
 	if err != nil {
--- a/review/_standin2/slow.go
+++ b/review/_standin2/slow.go
@@ -29,16 +29,15 @@
 	// orderClients place orders, one after the other, on a kept connection each.
 	orderClients = 12
 	slowTime     = 40 * time.Second
-	// allowedLost is the number of requests that the rule allows to be lost.
-	allowedLost = 3
 )
 
-const slowConfiguration = `{"version":1,"routes":{
+const shopConfiguration = `{"version":1,"routes":{
 "r-browse":{"host":"shop.example","prefix":"/browse/","kind":"safe","timeout":"6000ms","target-latency":"1500ms","priority":2,"service":"katalog","max-attempts":2,"anonymous":false},
 "r-order":{"host":"shop.example","prefix":"/order/","kind":"unsafe","timeout":"6000ms","target-latency":"1500ms","priority":0,"service":"ordre","max-attempts":2,"anonymous":false}},
 "services":{"katalog":{"health-path":"/healthcheck","max-conns":1204},"ordre":{"health-path":"/healthcheck","max-conns":1204}},
 "limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15000ms"},
-"tenants":{"shop":{"api-keys":["key-of-shop"],"priority":1,"rate-per-s":5000,"burst":5000}}}`
+"tenants":{"shop":{"api-keys":["key-of-shop"],"priority":1,"rate-per-s":5000,"burst":5000},
+"depot":{"api-keys":["key-of-depot"],"priority":1,"rate-per-s":5000,"burst":5000}}}`
 
 // runSlow places orders at a machine whose other clients fetch large answers, and read them
 // slowly if trouble is set. It returns the number of orders that were lost.
@@ -48,7 +47,7 @@
 	for _, zone := range []string{"west-a", "west-b", "west-c"} {
 		places = append(places, place{zone, "katalog", 120 * time.Millisecond, answer}, place{zone, "ordre", 160 * time.Millisecond, []byte("booked")})
 	}
-	f, err := startFleet(places, slowConfiguration, r)
+	f, err := startFleet(places, shopConfiguration, r)
 	if f != nil {
 		defer f.stop()
 	}
@@ -61,7 +60,9 @@
 	var clients sync.WaitGroup
 	lost := &counter{}
 	for i := range orderClients {
-		clients.Go(func() { placeOrders(ctx, f, outbound, i, lost) })
+		clients.Go(func() {
+			placeOrders(ctx, f, orderClient{number: i, outbound: outbound, body: "twelve bundles", pause: 20 * time.Millisecond}, lost)
+		})
 	}
 	for i := range slowClients {
 		clients.Go(func() { fetchAll(ctx, r, outbound, i, trouble) })
@@ -70,77 +71,6 @@
 	return lost.value(), nil
 }
 
-// A counter is a number that is safe for concurrent use.
-type counter struct {
-	mu sync.Mutex
-	n  int
-}
-
-func (c *counter) add() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.n++
-}
-
-func (c *counter) value() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.n
-}
-
-// placeOrders places orders on a connection that it keeps. An order is lost if it ran and the
-// connection, which had carried an answer before, was closed without one.
-func placeOrders(ctx context.Context, f *fleet, outbound string, client int, lost *counter) {
-	var conn net.Conn
-	var reader *bufio.Reader
-	answered := 0
-	for number := 0; ctx.Err() == nil; number++ {
-		if conn == nil {
-			var err error
-			if conn, err = net.DialTimeout("tcp", outbound, time.Second); err != nil {
-				time.Sleep(200 * time.Millisecond)
-				continue
-			}
-			reader, answered = bufio.NewReader(conn), 0
-		}
-		id := fmt.Sprintf("%04x%08x", client, number)
-		status, err := placeOrder(conn, reader, id)
-		if err == nil {
-			f.record.add("order %s was answered %d", id, status)
-			answered++
-			time.Sleep(20 * time.Millisecond)
-			continue
-		}
-		conn.Close()
-		conn = nil
-		runs := f.ran(id)
-		f.record.add("order %s: the connection, which had carried %d answers, ended without an answer (%v); it ran %d times", id, answered, err, runs)
-		if runs > 0 && answered > 0 {
-			lost.add()
-		}
-	}
-	if conn != nil {
-		conn.Close()
-	}
-}
-
-func placeOrder(conn net.Conn, reader *bufio.Reader, id string) (int, error) {
-	if err := conn.SetDeadline(time.Now().Add(7 * time.Second)); err != nil {
-		return 0, err
-	}
-	body := "twelve bundles"
-	if _, err := fmt.Fprintf(conn, "POST /order/new HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 6000\r\nAuthorization: Bearer key-of-shop\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body); err != nil {
-		return 0, err
-	}
-	response, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		return 0, err
-	}
-	defer response.Body.Close()
-	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, err
-}
-
 // fetchAll sends a request each requestInterval, also before earlier ones are answered, and reads
 // the answers, slowly if slow is set. It opens a new connection when one ends.
 func fetchAll(ctx context.Context, r *record, outbound string, client int, slow bool) {
@@ -217,7 +147,7 @@
 func readAnswers(conn net.Conn, sent *sendTimes, slow bool) (answers int, read int64, err error) {
 	var source io.Reader = conn
 	if slow {
-		source = &slowReader{conn}
+		source = &slowReader{conn, slowRate}
 	}
 	counted := &countingReader{Reader: source}
 	reader := bufio.NewReaderSize(counted, 4<<10)
@@ -237,26 +167,3 @@
 		answers++
 	}
 }
-
-// A countingReader counts the bytes that it reads.
-type countingReader struct {
-	io.Reader
-	n int64
-}
-
-// Read implements io.Reader.
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.Reader.Read(p)
-	c.n += int64(n)
-	return n, err
-}
-
-// A slowReader reads slowRate bytes in a second.
-type slowReader struct{ source io.Reader }
-
-// Read implements io.Reader.
-func (s *slowReader) Read(p []byte) (int, error) {
-	n, err := s.source.Read(p[:min(len(p), slowRate/16)])
-	time.Sleep(time.Duration(n) * time.Second / slowRate)
-	return n, err
-}
--- a/review/_standin2/upstream.go
+++ b/review/_standin2/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,8 +24,14 @@
 	record *record
 	born   int64
 
-	mu   sync.Mutex
-	runs map[string]int
+	// mu guards the fields below.
+	mu sync.Mutex
+	// readRate is what it reads of a body in a second; zero for no limit.
+	readRate int
+	// arrived holds the ids of the requests that were passed on to it, and tenants the X-Tenant
+	// of those that ran.
+	arrived map[string]bool
+	tenants map[string]string
 }
 
 func newUpstream(id, service string, slots int, work time.Duration, answer []byte, r *record) (*upstream, error) {
@@ -34,7 +41,7 @@
 	}
 	u := &upstream{
 		id: id, service: service, address: listener.Addr().String(), slots: make(chan struct{}, slots),
-		work: work, answer: answer, record: r, born: time.Now().UnixMilli(), runs: make(map[string]int),
+		work: work, answer: answer, record: r, born: time.Now().UnixMilli(), arrived: make(map[string]bool), tenants: make(map[string]string),
 	}
 	go func() { _ = http.Serve(listener, u) }() // It ends with the process.
 	return u, nil
@@ -52,7 +59,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	if _, err := io.Copy(io.Discard, u.arrive(id, r.Body)); err != nil {
 		return // The caller has closed the connection.
 	}
 	left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
@@ -72,19 +79,47 @@
 	}
 	defer func() { <-u.slots }()
 	u.mu.Lock()
-	u.runs[id]++
+	u.tenants[id] = r.Header.Get("X-Tenant")
 	u.mu.Unlock()
+	if r.Method == http.MethodPost {
+		u.record.add("order %s runs at %s", id, u.id)
+	}
 	time.Sleep(u.work)
 	w.Header().Set("X-Response-Stamp", "stamp-"+u.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(u.answer)))
 	_, _ = w.Write(u.answer) // An error means that the node has closed the connection.
 }
 
-// ran returns how often a request has run.
-func (u *upstream) ran(id string) int {
+// arrive records that a request was passed on, and returns its body as it is read.
+func (u *upstream) arrive(id string, body io.Reader) io.Reader {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.arrived[id] = true
+	if u.readRate > 0 {
+		return &slowReader{body, u.readRate}
+	}
+	return body
+}
+
+// setReadRate makes the upstream read the bodies of later requests slowly.
+func (u *upstream) setReadRate(bytesPerSecond int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.readRate = bytesPerSecond
+}
+
+// hasGot reports whether a request was passed on to the upstream.
+func (u *upstream) hasGot(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.arrived[id]
+}
+
+// tenantsOf returns the X-Tenant of the requests that ran, by their ids.
+func (u *upstream) tenantsOf() map[string]string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.runs[id]
+	return maps.Clone(u.tenants)
 }
 
 // announce sends heartbeats to the control address of the own machine until ctx ends.
