--- a/review/_standin2/node.go
+++ b/review/_standin2/node.go
@@ -173,6 +173,17 @@
 	return nil
 }
 
+// changeSettings writes settings with another address of the store and sends SIGHUP.
+func (n *node) changeSettings(storeAddress string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := os.WriteFile(filepath.Join(n.folder, n.name+".ini"), []byte(n.settings(storeAddress, false)), 0o600); err != nil {
+		return err
+	}
+	n.record.add("%s: the address of the store in its settings is now %s, and it gets SIGHUP", n.name, storeAddress)
+	return n.command.Process.Signal(syscall.SIGHUP)
+}
+
 // watchMemory kills the process once it exceeds its memory.
 func (n *node) watchMemory(p *os.Process) {
 	for {
--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -23,6 +23,7 @@
 // A store is a stand-in for the platform's metadata store, as PROTOCOL.md describes it.
 type store struct {
 	address string
+	server  *http.Server
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -32,17 +33,34 @@
 }
 
 func newStore() (*store, error) {
+	s := &store{changed: make(chan struct{}), rows: make(map[string]row)}
+	return s, s.listen()
+}
+
+// listen serves the store at a new address. The earlier one stays until close is called.
+func (s *store) listen() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &store{address: listener.Addr().String(), changed: make(chan struct{}), rows: make(map[string]row)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/rows-tx", s.transact)
 	mux.HandleFunc("GET /api/rows-get", s.get)
 	mux.HandleFunc("GET /api/rows-feed", s.feed)
-	go func() { _ = http.Serve(listener, mux) }() // It ends with the process.
-	return s, nil
+	server := &http.Server{Handler: mux}
+	s.address, s.server = listener.Addr().String(), server
+	go func() { _ = server.Serve(listener) }() // It ends with close or with the process.
+	return nil
+}
+
+// move serves the store at a new address, and no longer at the earlier one after a time.
+func (s *store) move(after time.Duration) error {
+	earlier := s.server
+	if err := s.listen(); err != nil {
+		return err
+	}
+	time.AfterFunc(after, func() { _ = earlier.Close() }) // Calls in progress end without an answer.
+	return nil
 }
 
 // write writes a row as the operator does.
