Take an answer for incomplete if its connection was reset during the upload

What callers saw: a backend server answered a long upload at once with 200 and no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, also to requests that may not be repeated.

Cause: an answer without a length ends with its stream, and it is read while the upload is written. The kernel reports a reset to one system call only. After a write that got it, the read finds the end of the stream. The error of the write only decided whether the connection can be used again.

Answers with a length or in chunks, and the client of the product's own interface, which writes before it reads, handled the case.

Change: an answer that ended with its stream is incomplete if the write failed because the connection broke. No other reader of answers depends on the end of a stream while it writes.

--- a/internal/connection/backend/link.go
+++ b/internal/connection/backend/link.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -209,9 +210,21 @@
 		<-written
 		reusable = false
 	}
+	if err == nil && conn.ended && isBroken(writeErr) {
+		return false, fmt.Errorf("read answer without a length: %w", errors.Join(io.ErrUnexpectedEOF, writeErr))
+	}
 	return reusable, err
 }
 
+// isBroken reports whether a write failed because the connection broke before the backend
+// server ended the stream. The kernel reports a broken connection to one system call only:
+// after a write that got the error, a read finds the end of the stream. A write gets EPIPE
+// if the stream had ended before. The other two errors come from this side.
+func isBroken(writeErr error) bool {
+	return writeErr != nil && !errors.Is(writeErr, syscall.EPIPE) && !errors.Is(writeErr, net.ErrClosed) &&
+		!errors.Is(writeErr, os.ErrDeadlineExceeded)
+}
+
 func writeRequest(conn *connection, request *fasthttp.Request) error {
 	if err := request.Write(conn.writer); err != nil {
 		return err
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -6,7 +6,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -53,6 +55,8 @@
 	// counted is the part that this connection's answer has.
 	buffered *bufferLimit
 	counted  int64
+	// ended reports that a read has found the end of the stream.
+	ended bool
 	// ctx is the context of the current request.
 	ctx context.Context
 }
@@ -68,6 +72,7 @@
 	n, err := c.Conn.Read(p)
 	c.counted += int64(n)
 	c.buffered.add(int64(n))
+	c.ended = c.ended || errors.Is(err, io.EOF)
 	if c.counted > maxAnswerBytes {
 		return n, ErrAnswerTooLarge
 	}
