Take a head with a malformed field name for no answer

What callers saw: a backend server in trouble sent an answer in whose head the name of a field held a blank or a control byte, and callers got it as an answer, with that line passed on or with a body that was not the backend server's.

Cause: the parser accepts a blank within a name, removes one before the colon, joins a line that begins with one to the value before it, and ends the head at a line feed alone. The node took each message that was parsed for an answer. Other control bytes, tabs, and lines without a colon or a name failed already; their tests stay.

Change: the reader of the answers of backend servers, for both kinds of node, looks at the whole head before the parser does, also at interim ones. Each line needs a name that HTTP allows and a colon, and the empty line a carriage return. Anything else is no answer: the outcome is unknown, the connection isn't used again, an idempotent request may be tried elsewhere, and the request gets no strike. The names in answers of other nodes are checked too. Names are judged by golang.org/x/net/http/httpguts, a module that was required indirectly.

--- a/internal/connection/backend/answer.go
+++ b/internal/connection/backend/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
 )
@@ -16,14 +17,19 @@
 // 599, or too many interim answers before one. Whether the request has run is unknown.
 var ErrNoFinalStatus = eris.New("the answer of the backend server has no final status")
 
+// ErrMalformedField means that a line in the head of an answer is no header field, or has a
+// name that HTTP does not allow. Whether the request has run is unknown.
+var ErrMalformedField = eris.New("the answer of the backend server has a malformed header field")
+
 // maxInterimAnswers limits the interim answers to one request.
 const maxInterimAnswers = 100
 
-// readAnswer reads interim answers and then a final one. The parser is given only heads whose
-// status is checked here, because it takes 000 for a status that is not set and returns 200.
+// readAnswer reads interim answers and then a final one. The parser is given only heads that
+// are checked here: it takes status 000 for one that is not set and returns 200, accepts
+// blanks in names, and ends a head at a line feed alone.
 func readAnswer(reader *bufio.Reader, response *fasthttp.Response) error {
 	for range maxInterimAnswers {
-		status, err := peekStatus(reader)
+		status, err := peekHead(reader)
 		switch {
 		case err != nil:
 			return err
@@ -31,10 +37,8 @@
 			if err := response.Header.Read(reader); err != nil {
 				return fmt.Errorf("read interim answer: %w", err)
 			}
-		case exchange.IsFinalStatus(status):
-			return response.ReadLimitBody(reader, maxResponseBytes)
 		default:
-			return fmt.Errorf("status %03d: %w", status, ErrNoFinalStatus)
+			return response.ReadLimitBody(reader, maxResponseBytes)
 		}
 	}
 	return fmt.Errorf("%d interim answers: %w", maxInterimAnswers, ErrNoFinalStatus)
@@ -46,44 +50,77 @@
 	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
 }
 
-// peekStatus returns the status of the next head without consuming it. It skips the empty
-// lines before the head, as the parser does.
-func peekStatus(reader *bufio.Reader) (int, error) {
+// peekHead returns the status of the next head, which is interim or final, without consuming
+// the head. It skips the empty lines before the head, as the parser does.
+func peekHead(reader *bufio.Reader) (int, error) {
 	for wanted := 1; ; wanted = reader.Buffered() + 1 {
 		if _, err := reader.Peek(wanted); err != nil {
-			return 0, fmt.Errorf("read status line: %w", err)
+			return 0, fmt.Errorf("read head: %w", err)
 		}
 		buffered, err := reader.Peek(reader.Buffered())
 		if err != nil {
-			return 0, fmt.Errorf("read status line: %w", err)
+			return 0, fmt.Errorf("read head: %w", err)
 		}
-		if line, ok := firstLine(buffered); ok {
-			return parseStatus(line)
+		line, fields, ok := firstLine(buffered)
+		if !ok {
+			continue
+		}
+		status, err := parseStatus(line)
+		if err != nil {
+			return 0, err
+		}
+		complete, err := checkFields(fields)
+		if err != nil {
+			return 0, err
+		}
+		if complete {
+			return status, nil
 		}
 	}
 }
 
-// firstLine returns the first line that is not empty, if it is complete.
-func firstLine(text []byte) ([]byte, bool) {
+// firstLine returns the first line that is not empty, if it is complete, and the text after it.
+func firstLine(text []byte) (line, rest []byte, ok bool) {
 	for {
 		line, rest, ended := bytes.Cut(text, []byte("\n"))
 		if !ended {
-			return nil, false
+			return nil, nil, false
 		}
 		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 {
-			return line, true
+			return line, rest, true
+		}
+		text = rest
+	}
+}
+
+// checkFields checks the names of the header fields that have arrived, and reports whether
+// that is all of them. A line that begins with a blank is malformed too: folded lines are
+// obsolete, and such a line may as well be a field, such as one with the length.
+func checkFields(text []byte) (complete bool, err error) {
+	for {
+		line, rest, ended := bytes.Cut(text, []byte("\n"))
+		switch {
+		case !ended:
+			return false, nil
+		case string(line) == "\r":
+			return true, nil
+		}
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
+			return false, fmt.Errorf("name %.40q: %w", name, ErrMalformedField)
 		}
 		text = rest
 	}
 }
 
-// parseStatus returns the status in a status line.
+// parseStatus returns the status in a status line, which is interim or final.
 func parseStatus(line []byte) (int, error) {
 	_, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	status, err := strconv.ParseUint(string(digits), 10, 16)
-	if err != nil || len(digits) != 3 {
+	value, err := strconv.ParseUint(string(digits), 10, 16)
+	status := int(value)
+	if err != nil || len(digits) != 3 || !isInterim(status) && !exchange.IsFinalStatus(status) {
 		return 0, fmt.Errorf("status %.8q: %w", digits, ErrNoFinalStatus)
 	}
-	return int(status), nil
+	return status, nil
 }
--- a/internal/connection/backend/client.go
+++ b/internal/connection/backend/client.go
@@ -184,6 +184,9 @@
 	case errors.Is(err, ErrNoFinalStatus):
 		r = r.WithDetail("its answer had no final status")
 		crashed = false
+	case errors.Is(err, ErrMalformedField):
+		r = r.WithDetail("its answer had a malformed header field")
+		crashed = false
 	}
 	return execute.Result{Answer: exchange.Refused(r), Sent: true, Crashed: crashed}
 }
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -3,8 +3,11 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/bilberryvane/bilberryvane/internal/request/call"
 	"github.com/bilberryvane/bilberryvane/internal/request/refusal"
 )
@@ -15,6 +18,9 @@
 	Value string `cbor:"2,keyasint"`
 }
 
+// malformed reports whether HTTP does not allow the name.
+func (h Header) malformed() bool { return !httpguts.ValidHeaderFieldName(h.Name) }
+
 // A Request is one call to a backend server.
 type Request struct {
 	Context call.Context `cbor:"1,keyasint"`
@@ -87,16 +93,28 @@
 // IsFinalStatus reports whether a status is one of a final answer in HTTP.
 func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
 
-// Checked returns the answer, or a refusal with unknown outcome if it has no final status,
-// which a node of another release may send.
+// Checked returns the answer, or a refusal with unknown outcome if it has no final status or
+// a malformed name of a header field, which a node of another release may send.
 func (a Answer) Checked() Answer {
-	if a.Refusal == nil && !IsFinalStatus(a.Status) {
-		r := refusal.New(refusal.BackendLost).WithOutcome(refusal.Unknown).WithDetail("its answer had no final status")
-		a.Refusal, a.Status, a.Headers, a.Body = &r, 0, nil, nil
+	if a.Refusal != nil {
+		return a
+	}
+	switch {
+	case !IsFinalStatus(a.Status):
+		return a.lost("its answer had no final status")
+	case slices.ContainsFunc(a.Headers, Header.malformed):
+		return a.lost("its answer had a malformed header field")
 	}
 	return a
 }
 
+// lost returns the answer with a refusal in place of what the backend server sent.
+func (a Answer) lost(detail string) Answer {
+	r := refusal.New(refusal.BackendLost).WithOutcome(refusal.Unknown).WithDetail(detail)
+	a.Refusal, a.Status, a.Headers, a.Body = &r, 0, nil, nil
+	return a
+}
+
 // Refused returns an answer with a refusal.
 func Refused(r refusal.Refusal) Answer { return Answer{Refusal: &r} }
 
--- a/internal/request/exchange/exchange_test.go
+++ b/internal/request/exchange/exchange_test.go
@@ -89,3 +89,22 @@
 	refused := exchange.Refused(refusal.New(refusal.Overloaded)) // has no status
 	is.Equal(refused.Checked(), refused)
 }
+
+// Guards against an answer of another node with a name that HTTP does not allow.
+func TestAnswersWithMalformedFieldsHaveUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"", "X Odd", " X-Odd", "X-Odd ", "X-Odd\t", "X\x00Odd", "X\rOdd", "X\nOdd", "X\x7fOdd", "X:Odd"} {
+		headers := []exchange.Header{{Name: "X-Even", Value: "1"}, {Name: name, Value: "2"}}
+		answer := exchange.Answer{Status: 200, Headers: headers, Body: []byte("odd"), UnusedAttempts: 2}.Checked()
+		if answer.Refusal == nil {
+			t.Errorf("the answer with the name %q is passed on", name)
+			continue
+		}
+		is.Equal(answer.Refusal.Outcome, refusal.Unknown)
+		is.Equal(answer.Status, 0)
+		is.Equal(len(answer.Headers)+len(answer.Body), 0)
+		is.Equal(answer.UnusedAttempts, 2)
+	}
+	answer := exchange.Answer{Status: 200, Headers: []exchange.Header{{Name: "!#$%&'*+-.^_`|~0189AZaz", Value: "a: b\t"}}}
+	is.Equal(answer.Checked(), answer)
+}
