--- a/internal/connection/backend/fieldname_test.go
+++ b/internal/connection/backend/fieldname_test.go
@@ -134,6 +134,38 @@
 	}
 }
 
+// A malformed field in a trailer changes neither the body nor the header fields, because
+// trailers aren't passed on.
+func TestMalformedTrailersAreNotPassedOn(t *testing.T) {
+	for name, line := range malformedFields() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			address, _ := serve(t, respond("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nodd\r\n0\r\n"+line+"\r\n\r\n"))
+			l := newLink(address)
+			defer l.Close()
+			var request fasthttp.Request
+			var response fasthttp.Response
+			request.Header.SetRequestURI("/")
+			request.Header.SetHost("a")
+			err := l.Exchange(t.Context(), "1", &request, &response, func(*fasthttp.Response, bool) backend.Match { return backend.Answered })
+			is.True(!errors.Is(err, backend.ErrNotSent)) // it may have run
+			if err != nil {
+				return
+			}
+			is.Equal(string(response.Body()), "odd")
+			is.Equal(string(response.Header.Peek("Id")), "1")
+			for field := range response.Header.All() {
+				switch string(field) {
+				case "Content-Type", "Id", "Trailer", "Transfer-Encoding": // the last two concern one connection
+				default:
+					t.Errorf("the caller gets the field %q", field)
+				}
+			}
+		})
+	}
+}
+
 // A head that arrives in pieces is judged as a whole.
 func TestLinkReadsHeadsInPieces(t *testing.T) {
 	for line, accepted := range map[string]bool{"X-Odd: 1": true, "X-Odd : 1": false, "X Odd: 1": false, "\nX-Odd: 1": false} {
