Log how far unfinished requests are at the end of a shutdown

Change: the event has one number for each phase of callers' requests, and one for the requests that the backend server of the host is executing.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -206,6 +206,8 @@
 	if length == 0 {
 		return reserved, request.ContinueReadBody(c.reader, limits.BodyBytes, false)
 	}
+	c.server.arriving.Add(1)
+	defer c.server.arriving.Add(-1)
 	if err := c.setReadTimeout(bodyTimeout); err != nil {
 		return reserved, disconnectError{err}
 	}
@@ -226,7 +228,11 @@
 	defer fasthttp.ReleaseResponse(response)
 	c.server.handler.Serve(c.ctx, request, response)
 	response.SkipBody = request.Header.IsHead()
+	c.server.waiting.Add(1)
 	<-turn
+	c.server.sending.Add(1)
+	c.server.waiting.Add(-1)
+	defer c.server.sending.Add(-1)
 	c.write(response, request.ConnectionClose())
 }
 
--- a/internal/connection/ingress/ingress.go
+++ b/internal/connection/ingress/ingress.go
@@ -51,7 +51,11 @@
 	// closing is set once connections close after a response, refusing once no further
 	// request is served.
 	closing, refusing atomic.Bool
-	active            atomic.Int64
+	// active is the number of requests that are being served, waiting that of those whose
+	// response waits for earlier ones, and sending that of those whose response is sent.
+	active, waiting, sending atomic.Int64
+	// arriving is the number of requests whose body is being read.
+	arriving atomic.Int64
 	// lingering is the number of connections whose final response was written and that
 	// the caller has not closed.
 	lingering atomic.Int64
@@ -100,6 +104,25 @@
 // Active returns the number of requests that are being served.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// A Progress is the number of requests in each phase.
+type Progress struct {
+	// Arriving counts requests whose body is being read.
+	Arriving int
+	// Handled counts requests that the handler has not answered yet.
+	Handled int
+	// Waiting counts responses that wait for those to earlier requests of their connection.
+	Waiting int
+	// Sending counts responses that are being sent.
+	Sending int
+}
+
+// Progress returns how far the requests of all connections are.
+func (s *Server) Progress() Progress {
+	p := Progress{Arriving: int(s.arriving.Load()), Waiting: int(s.waiting.Load()), Sending: int(s.sending.Load())}
+	p.Handled = max(0, s.Active()-p.Waiting-p.Sending)
+	return p
+}
+
 // Lingering returns the number of closing connections whose callers have not closed their
 // end, and may not have received all responses.
 func (s *Server) Lingering() int { return int(s.lingering.Load()) }
--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -66,8 +66,8 @@
 			n.callers.CloseIdle()
 			idleClosed = true
 		}
-		running, replying := n.callers.Active()+n.admission.Load().Running, n.mesh.Replying()
-		if running+replying > 0 {
+		executing, replying := n.admission.Load().Running, n.mesh.Replying()
+		if n.callers.Active()+executing+replying > 0 {
 			idleSince = now
 		}
 		lingering := n.callers.Lingering()
@@ -75,7 +75,11 @@
 			return
 		}
 		if now.Sub(start) >= grace-closeMargin {
-			n.log.Emit(event.RequestsUnfinished, log.Fields{"running": running, "replying": replying, "lingering": lingering})
+			p := n.callers.Progress()
+			n.log.Emit(event.RequestsUnfinished, log.Fields{
+				"arriving": p.Arriving, "handled": p.Handled, "waiting": p.Waiting, "sending": p.Sending,
+				"executing": executing, "replying": replying, "lingering": lingering,
+			})
 			return
 		}
 		time.Sleep(idlePollInterval)
