Answer requests that are arriving when a node stops taking requests

What callers saw: a request whose body was arriving when a leaving node stopped taking requests got neither an answer nor a refusal, although all of the body was read, and dropped.

Cause: a request counted as active only once it was complete. Until then its connection seemed idle, so CloseIdle closed it for writing.

Change: a request counts from its first byte on. At the end of the grace period, with the cancellation of running requests, what is still incomplete is refused: 503 with Retry-After, not run, and the rest is read and dropped, so that no reset discards the refusal.

Why it works: every request that the server has begun to read is counted until its response is sent, and each such request gets one.

Weighed: to refuse uploads as soon as the node stops taking requests. That is simpler, but their callers have to send again what would have been served.

--- a/internal/connection/ingress/budget.go
+++ b/internal/connection/ingress/budget.go
@@ -6,9 +6,6 @@
 	"sync/atomic"
 )
 
-// bodiesRetryAfter is the retry delay in seconds of a request whose body can't be held.
-const bodiesRetryAfter = "0.5"
-
 // errBodiesTooLarge reports that the bodies of all requests are larger than the memory
 // set aside for them. The request was not read and has not run.
 var errBodiesTooLarge = errors.New("the bodies of all requests are too large to be held at once")
--- a/internal/connection/ingress/cancel_test.go
+++ b/internal/connection/ingress/cancel_test.go
@@ -63,3 +63,74 @@
 	s.CancelRequests(errStopped)
 	waitUntil(t, func() bool { return s.Active() == 0 })
 }
+
+// Guards against a request that is still arriving when the server stops and gets no response. One
+// that is complete in time is served, behind others too; any other is refused.
+func TestStopAnswersArrivingRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		head, rest string
+		complete   bool
+	}{
+		"length":            {"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo", "dy", true},
+		"chunks":            {"POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n", "2\r\ndy\r\n0\r\n\r\n", true},
+		"headers":           {"POST /2 HTTP/1.1\r\nHost: a\r\n", "Content-Length: 4\r\n\r\nbody", true},
+		"incomplete length": {"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo", "", false},
+		"incomplete chunks": {"POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n", "2\r\n", false},
+		"incomplete head":   {"POST /2 HTTP/1.1\r\nHost: a\r\n", "Content-", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+				if string(request.Header.RequestURI()) == "/1" {
+					<-ctx.Done()
+				}
+				echo(ctx, request, response)
+			})
+			send(t, conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"+c.head)
+			waitUntil(t, func() bool { return s.Progress() == ingress.Progress{Arriving: 1, Handled: 1} })
+			s.CloseIdle()
+			is.Equal(s.Active(), 2)
+			send(t, conn, c.rest)
+			if c.complete {
+				waitUntil(t, func() bool { return s.Progress() == ingress.Progress{Handled: 1, Waiting: 1} })
+			}
+			s.CancelRequests(errStopped)
+			first, second := read(t, reader), read(t, reader)
+			is.Equal(string(first.Body()), "GET /1 ")
+			is.True(!first.ConnectionClose())
+			is.True(second.ConnectionClose())
+			if c.complete {
+				is.Equal(string(second.Body()), "POST /2 body")
+			} else {
+				is.Equal(second.StatusCode(), fasthttp.StatusServiceUnavailable)
+				is.True(len(second.Header.Peek("Retry-After")) > 0)
+			}
+			// A caller that goes on sending doesn't lose the response to a reset.
+			send(t, conn, "late")
+			_, err := reader.ReadByte()
+			is.Equal(err, io.EOF)
+			conn.Close()
+			waitUntil(t, func() bool { return s.Lingering() == 0 && s.Progress() == ingress.Progress{} && s.HeldBytes() == 0 })
+		})
+	}
+}
+
+// A request that begins to arrive after the server has stopped taking requests isn't served.
+func TestRequestAfterCloseIdleIsUnread(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{}, 2)
+	s, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+		started <- struct{}{}
+		<-ctx.Done()
+		echo(ctx, request, response)
+	})
+	send(t, conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	s.CloseIdle()
+	send(t, conn, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo")
+	s.CancelRequests(errStopped)
+	is.True(read(t, reader).ConnectionClose())
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(s.Active(), 0)
+}
--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -29,10 +29,18 @@
 	// writeBufferBytes is the size of the write buffer, which fits the headers and most
 	// bodies of a response.
 	writeBufferBytes = 4 << 10
+	// unreadRetryAfter is the retry delay in seconds of a request whose body can't be held, or
+	// that the server stopped to read.
+	unreadRetryAfter = "0.5"
 )
 
-// errClosing stops reading requests from a connection that is closing.
-var errClosing = errors.New("connection is closing")
+var (
+	// errClosing stops reading requests from a connection that is closing.
+	errClosing = errors.New("connection is closing")
+	// errStopping reports that the server stops before a request has arrived completely. The
+	// request has not run.
+	errStopping = errors.New("the server stops before the request is complete")
+)
 
 // A connection serves the requests on one caller connection.
 type connection struct {
@@ -50,9 +58,12 @@
 	cancel         context.CancelCauseFunc
 	cancelRequests context.CancelCauseFunc
 
-	// mu guards unanswered and finalWritten, and the read deadline once finalWritten is set.
+	// mu guards the fields below, and the read deadline once finalWritten or stopped is set.
 	mu         sync.Mutex
 	unanswered int
+	// arriving is set while a request is being read, and stopped once the server doesn't wait
+	// for the rest of that request.
+	arriving, stopped bool
 	// finalWritten is set once no further response will be written. The connection then
 	// waits for the caller to close its end.
 	finalWritten bool
@@ -83,7 +94,11 @@
 	for {
 		request, reserved, err := c.read()
 		if err != nil {
-			c.handleReadError(err, previous)
+			connected := c.handleReadError(err, previous)
+			c.endArrival()
+			if connected {
+				c.discard()
+			}
 			break
 		}
 		answered := make(chan struct{})
@@ -131,35 +146,83 @@
 	if reserved, err = c.readBody(incoming, limits); err != nil {
 		return nil, reserved, err
 	}
-	return incoming, reserved, c.startRequest()
+	return incoming, reserved, c.completeRequest()
 }
 
 // setReadTimeout bounds the time until the next bytes arrive. It returns errClosing if no
-// further request is served on the connection.
+// further request is served on the connection, and errStopping if the one that is arriving
+// isn't.
 func (c *connection) setReadTimeout(d time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.finalWritten {
-		return errClosing
+	if err := c.readable(); err != nil {
+		return err
 	}
 	return c.conn.SetReadDeadline(time.Now().Add(d))
 }
 
-// startRequest counts a complete request as active. It returns errClosing if no further
-// request is served on the connection, and the request counts as unread.
-func (c *connection) startRequest() error {
+// readable returns why no more of a request is read, or nil. mu must be held.
+func (c *connection) readable() error {
+	switch {
+	case c.finalWritten:
+		return errClosing
+	case c.stopped:
+		return errStopping
+	}
+	return nil
+}
+
+// beginRequest counts a request as active from its first byte on. It returns errClosing if no
+// further request is served on the connection, and the request counts as unread.
+func (c *connection) beginRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.finalWritten || c.server.refusing.Load() {
 		return errClosing
 	}
 	c.unanswered++
+	c.arriving = true
 	c.server.active.Add(1)
+	c.server.arriving.Add(1)
 	return nil
 }
 
-// awaitRequest waits for the first byte of a request. The idle timeout applies only
-// while no earlier request is being served.
+// completeRequest records that a request has arrived completely, unless it isn't served.
+func (c *connection) completeRequest() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.readable(); err != nil {
+		return err
+	}
+	c.arriving = false
+	c.server.arriving.Add(-1)
+	return nil
+}
+
+// endArrival ends a request that has not arrived completely.
+func (c *connection) endArrival() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.arriving {
+		c.arriving = false
+		c.server.arriving.Add(-1)
+		c.server.active.Add(-1)
+	}
+}
+
+// stopArrival interrupts reading a request, so that it is refused.
+func (c *connection) stopArrival() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.arriving && !c.finalWritten {
+		c.stopped = true
+		// An error means that the connection is closed, which ends the read too.
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// awaitRequest waits for the first byte of a request and begins the request. The idle timeout
+// applies only while no earlier request is being served.
 func (c *connection) awaitRequest(idle time.Duration) error {
 	for {
 		if err := c.setReadTimeout(idle); err != nil {
@@ -167,7 +230,7 @@
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
-			return nil
+			return c.beginRequest()
 		}
 		if isTimeout(err) && c.busy() {
 			continue
@@ -189,6 +252,13 @@
 	return c.finalWritten
 }
 
+// isStopped reports whether the request that is arriving is refused.
+func (c *connection) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
 // readBody reads the body of a request and returns the bytes reserved for it. A body
 // whose length is known is reserved before any of it is read.
 func (c *connection) readBody(request *fasthttp.Request, limits Limits) (reserved int64, err error) {
@@ -210,8 +280,6 @@
 	if length == 0 {
 		return reserved, request.ContinueReadBody(c.reader, limits.BodyBytes, false)
 	}
-	c.server.arriving.Add(1)
-	defer c.server.arriving.Add(-1)
 	if err := c.setReadTimeout(bodyTimeout); err != nil {
 		return reserved, disconnectError{err}
 	}
@@ -313,38 +381,41 @@
 	}
 }
 
-// handleReadError handles an error from read. A malformed request gets an error
+// handleReadError handles an error from read and reports whether the caller may still be
+// connected. A request that is malformed, or that the server stopped to read, gets an error
 // response; if the caller disconnected, the requests in flight are cancelled.
-func (c *connection) handleReadError(err error, turn <-chan struct{}) {
+func (c *connection) handleReadError(err error, turn <-chan struct{}) (connected bool) {
+	if c.isStopped() && (isTimeout(err) || errors.Is(err, errStopping)) {
+		c.respondToReadError(fasthttp.StatusServiceUnavailable, turn)
+		return true
+	}
 	outside := errors.As(err, new(disconnectError))
-	switch {
-	case errors.Is(err, errClosing), outside && isTimeout(err), c.isClosing():
+	if errors.Is(err, errClosing) || outside && isTimeout(err) || c.isClosing() {
 		c.closeIdle()
-		c.discard()
-		return
-	case outside:
-		c.cancel(ErrCallerDisconnected)
-		return
+		return true
 	}
 	status, ok := readErrorStatus(err)
-	if !ok {
+	if outside || !ok {
 		c.cancel(ErrCallerDisconnected)
-		return
+		return false
 	}
+	c.respondToReadError(status, turn)
+	return true
+}
+
+// respondToReadError writes the final response of a connection, to a request that could not be
+// read.
+func (c *connection) respondToReadError(status int, turn <-chan struct{}) {
 	<-turn
-	c.mu.Lock()
-	c.unanswered++
-	c.mu.Unlock()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	response.SetStatusCode(status)
 	if status == fasthttp.StatusServiceUnavailable {
-		response.Header.Set(fasthttp.HeaderRetryAfter, bodiesRetryAfter)
+		response.Header.Set(fasthttp.HeaderRetryAfter, unreadRetryAfter)
 	}
 	response.SetBodyString(fasthttp.StatusMessage(status) + ": the request could not be read\n")
 	response.SetConnectionClose()
 	c.write(response, true)
-	c.discard()
 }
 
 // discard reads and drops input until the caller closes the connection, which cancels the
--- a/internal/connection/ingress/ingress.go
+++ b/internal/connection/ingress/ingress.go
@@ -51,11 +51,10 @@
 	// closing is set once connections close after a response, refusing once no further
 	// request is served.
 	closing, refusing atomic.Bool
-	// active is the number of requests that are being served, waiting that of those whose
-	// response waits for earlier ones, and sending that of those whose response is sent.
-	active, waiting, sending atomic.Int64
-	// arriving is the number of requests whose body is being read.
-	arriving atomic.Int64
+	// active is the number of requests that have begun to arrive and are not answered, arriving
+	// that of those which are not complete, waiting that of those whose response waits for
+	// earlier ones, and sending that of those whose response is sent.
+	active, arriving, waiting, sending atomic.Int64
 	// lingering is the number of connections whose final response was written and that
 	// the caller has not closed.
 	lingering atomic.Int64
@@ -101,12 +100,12 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Active returns the number of requests that are being served.
+// Active returns the number of requests that are arriving or being served.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // A Progress is the number of requests in each phase.
 type Progress struct {
-	// Arriving counts requests whose body is being read.
+	// Arriving counts requests that are being read.
 	Arriving int
 	// Handled counts requests that the handler has not answered yet.
 	Handled int
@@ -119,7 +118,7 @@
 // Progress returns how far the requests of all connections are.
 func (s *Server) Progress() Progress {
 	p := Progress{Arriving: int(s.arriving.Load()), Waiting: int(s.waiting.Load()), Sending: int(s.sending.Load())}
-	p.Handled = max(0, s.Active()-p.Waiting-p.Sending)
+	p.Handled = max(0, s.Active()-p.Arriving-p.Waiting-p.Sending)
 	return p
 }
 
@@ -132,8 +131,8 @@
 func (s *Server) Drain() { s.closing.Store(true) }
 
 // CloseIdle stops accepting connections and requests. It closes the connections without a
-// request in flight, and the others after the response to their last request. A request
-// that arrives later isn't served.
+// request in flight, and the others after the response to their last request. A request that
+// begins to arrive later isn't served.
 func (s *Server) CloseIdle() {
 	s.closing.Store(true)
 	s.refusing.Store(true)
@@ -145,15 +144,17 @@
 	}
 }
 
-// CancelRequests cancels the requests that are being handled. Their handlers have to answer
-// at once, so that the responses behind theirs can be sent too. It implies CloseIdle, so that
-// no request starts later. The cause is that of the contexts of the requests.
+// CancelRequests cancels the requests that are being handled, and refuses those that are
+// arriving with status 503. The handlers have to answer at once, so that the responses behind
+// theirs can be sent too. It implies CloseIdle, so that no request begins later. The cause is
+// that of the contexts of the requests.
 func (s *Server) CancelRequests(cause error) {
 	s.CloseIdle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
 		c.cancelRequests(cause)
+		c.stopArrival()
 	}
 }
 
