Read no request behind one that asks to close the connection

What callers saw: a request behind one with Connection: close ran, also one that may run only once, and its answer was dropped. HTTP has such requests not processed.

Cause: the reader of a connection read on until the response to the closing request had been written, which marks the end of the connection.

Change: the reader drops what follows a request with Connection: close, and still notices when the caller closes the connection.

--- a/internal/connection/ingress/cancel_test.go
+++ b/internal/connection/ingress/cancel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -134,3 +135,57 @@
 	is.Equal(err, io.EOF)
 	is.Equal(s.Active(), 0)
 }
+
+// Guards against requests that run although their responses are dropped, because an earlier one
+// on their connection asked to close it. Input behind it isn't read as a request.
+func TestRequestsBehindCloseAreNotServed(t *testing.T) {
+	for name, behind := range map[string]string{
+		"request":   "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"malformed": "no request\r\n\r\n",
+		"upload":    "POST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo",
+		"nothing":   "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			served, release := make(chan string, 3), make(chan struct{})
+			s, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+				served <- string(request.Header.RequestURI())
+				select {
+				case <-release:
+				case <-ctx.Done():
+				}
+				echo(ctx, request, response)
+			})
+			send(t, conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"+behind)
+			<-served
+			<-served
+			waitUntil(t, func() bool { return s.Progress() == ingress.Progress{Handled: 2} })
+			time.Sleep(50 * time.Millisecond) // a request behind them would have started
+			close(release)
+			first, last := read(t, reader), read(t, reader)
+			is.Equal(string(first.Body()), "GET /1 ")
+			is.Equal(string(last.Body()), "GET /2 ")
+			is.True(last.ConnectionClose())
+			_, err := reader.ReadByte()
+			is.Equal(err, io.EOF)
+			is.Equal(len(served), 0)
+			conn.Close()
+			waitUntil(t, func() bool { return s.Lingering() == 0 })
+		})
+	}
+}
+
+// A caller that disconnects after its last request cancels it.
+func TestDisconnectAfterLastRequestCancelsIt(t *testing.T) {
+	is := is.New(t)
+	started, causes := make(chan struct{}, 1), make(chan error, 1)
+	_, conn, _ := serve(t, func(ctx context.Context, _ *fasthttp.Request, _ *fasthttp.Response) {
+		started <- struct{}{}
+		<-ctx.Done()
+		causes <- context.Cause(ctx)
+	})
+	send(t, conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	<-started
+	conn.Close()
+	is.Equal(<-causes, ingress.ErrCallerDisconnected)
+}
--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// serve reads and serves requests until the connection ends. Responses are written in
-// the order of the requests.
+// serve reads and serves requests until the connection ends, or until the caller asks to close
+// it. Responses are written in the order of the requests.
 func (c *connection) serve() {
 	previous := make(chan struct{})
 	close(previous)
@@ -101,6 +101,7 @@
 			}
 			break
 		}
+		last := request.ConnectionClose()
 		answered := make(chan struct{})
 		turn := previous
 		c.serving.Go(func() {
@@ -110,6 +111,10 @@
 			<-c.slots
 		})
 		previous = answered
+		if last {
+			c.discard()
+			break
+		}
 	}
 	c.serving.Wait()
 	c.cancel(nil)
