Start the idle timeout of a connection when its last request is answered

What callers saw: a connection was closed long before its idle timeout; the next request on it was read, dropped, and got no answer. Not only under planned work.

Cause: the read deadline was set when a request had been read. A timeout while it was served was ignored, but the next deadline then ran from that moment, and one that fell just after the answer closed the connection.

Change: at a timeout the connection is idle only for the time since its last response was sent; it waits for the rest of the idle timeout.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -61,6 +61,8 @@
 	// mu guards the fields below, and the read deadline once finalWritten or stopped is set.
 	mu         sync.Mutex
 	unanswered int
+	// answeredAt is when the latest response was sent.
+	answeredAt time.Time
 	// arriving is set while a request is being read, and stopped once the server doesn't wait
 	// for the rest of that request.
 	arriving, stopped bool
@@ -227,27 +229,34 @@
 }
 
 // awaitRequest waits for the first byte of a request and begins the request. The idle timeout
-// applies only while no earlier request is being served.
+// applies from the time at which no earlier request was being served.
 func (c *connection) awaitRequest(idle time.Duration) error {
+	wait := idle
 	for {
-		if err := c.setReadTimeout(idle); err != nil {
+		if err := c.setReadTimeout(wait); err != nil {
 			return err
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return c.beginRequest()
 		}
-		if isTimeout(err) && c.busy() {
-			continue
+		if !isTimeout(err) {
+			return err
+		}
+		if wait = c.idleTimeLeft(idle); wait <= 0 {
+			return err
 		}
-		return err
 	}
 }
 
-func (c *connection) busy() bool {
+// idleTimeLeft returns how long a connection may stay idle from now on.
+func (c *connection) idleTimeLeft(idle time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.unanswered > 0
+	if c.unanswered > 0 {
+		return idle
+	}
+	return idle - time.Since(c.answeredAt)
 }
 
 // isClosing reports whether no further response will be written.
@@ -335,6 +344,7 @@
 	}
 	c.mu.Lock()
 	c.unanswered--
+	c.answeredAt = time.Now()
 	c.mu.Unlock()
 	if c.server.refusing.Load() {
 		c.closeIdle()
--- a/internal/connection/ingress/ingress_test.go
+++ b/internal/connection/ingress/ingress_test.go
@@ -324,3 +324,28 @@
 	is.NoErr(response.Read(reader))
 	is.Equal(response.StatusCode(), fasthttp.StatusOK)
 }
+
+// Guards against an idle timeout that includes the time in which a request was served.
+func TestIdleTimeoutStartsAfterResponse(t *testing.T) {
+	for name, work := range map[string]time.Duration{"shorter": limits().IdleTimeout - 200*time.Millisecond, "longer": limits().IdleTimeout + 200*time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+				select {
+				case <-time.After(work):
+				case <-ctx.Done():
+				}
+				echo(ctx, request, response)
+			})
+			is.NoErr(conn.SetDeadline(time.Now().Add(slowTimeout)))
+			send(t, conn, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+			read(t, reader)
+			answered := time.Now()
+			_, err := reader.ReadByte()
+			is.Equal(err, io.EOF)
+			is.True(time.Since(answered) >= limits().IdleTimeout-50*time.Millisecond)
+			is.True(time.Since(answered) < limits().IdleTimeout+time.Second)
+		})
+	}
+}
