Deliver answers to callers that have closed their sending side

What callers saw: a caller that sends its requests, closes its sending side and then reads got no answers at all, also none that were ready and only waited for their turn.

Cause: the end of a caller's input cancels its requests, as it can't be told from a caller that has gone, and responses were dropped once that had happened.

Change: responses are written whether or not the caller has closed its connection. Running requests are still cancelled, and the response to each says so. If the caller has gone, the write fails, which closes the connection as before.

--- a/internal/connection/ingress/cancel_test.go
+++ b/internal/connection/ingress/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -189,3 +190,24 @@
 	conn.Close()
 	is.Equal(<-causes, ingress.ErrCallerDisconnected)
 }
+
+// Guards against responses that are dropped because their caller has closed its sending side. Its
+// requests that are still running are cancelled.
+func TestHalfClosedCallerGetsResponses(t *testing.T) {
+	is := is.New(t)
+	s, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+		if string(request.Header.RequestURI()) == "/slow" {
+			<-ctx.Done()
+			response.SetStatusCode(fasthttp.StatusBadGateway)
+		}
+		echo(ctx, request, response)
+	})
+	send(t, conn, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	waitUntil(t, func() bool { return s.Progress() == ingress.Progress{Handled: 1, Waiting: 1} })
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	is.Equal(read(t, reader).StatusCode(), fasthttp.StatusBadGateway)
+	is.Equal(string(read(t, reader).Body()), "GET /2 ")
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(s.Active(), 0)
+}
--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -323,8 +323,9 @@
 }
 
 // write writes a response. The final one of a connection has a Connection: close header.
-// Responses after the final one are discarded. The request counts as unanswered until its
-// response was sent.
+// Responses after the final one are discarded. A caller that has closed its connection may have
+// closed only its sending side, so it gets responses too. The request counts as unanswered until
+// its response was sent.
 func (c *connection) write(response *fasthttp.Response, closeRequested bool) {
 	c.mu.Lock()
 	discarded := c.finalWritten
@@ -334,7 +335,7 @@
 		response.SetConnectionClose()
 	}
 	c.mu.Unlock()
-	if !discarded && c.ctx.Err() == nil {
+	if !discarded {
 		if err := c.send(response); err != nil {
 			c.cancel(ErrCallerDisconnected)
 			c.conn.Close()
