Apply changed settings while a node is stopping

What operators saw: a grace period that was changed after a node had got its termination signal didn't apply, with and without a reload signal. A node whose grace period was shortened could be killed before it had closed its connections.

Cause: the loop that reads the settings waited for the shutdown, which reads the grace period again and again.

Change: the shutdown runs beside that loop.

--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -154,7 +154,7 @@
 const settingsPollInterval = 2 * time.Second
 
 // Run runs a node until ctx is done, then shuts it down. It applies changed settings on
-// each reload signal, and within settingsPollInterval without one.
+// each reload signal, and within settingsPollInterval without one, also during the shutdown.
 func Run(ctx context.Context, s Settings, d Deps, reload <-chan os.Signal, read func() (Settings, error)) error {
 	n, err := Start(s, d)
 	if err != nil {
@@ -163,11 +163,18 @@
 	}
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
+	stopping, stopped := ctx.Done(), make(chan struct{})
 	current := s
 	for {
 		select {
-		case <-ctx.Done():
-			n.Shutdown()
+		case <-stopping:
+			stopping = nil
+			go func() {
+				defer close(stopped)
+				n.Shutdown()
+			}()
+			continue
+		case <-stopped:
 			return nil
 		case <-reload:
 		case <-poll.C:
