Send each answer before the next pipelined request is handled

Callers saw: an answer that was ready arrived only with the answer to the request behind it on the same connection, or never if the node stopped before that one ended. Cause: without a write deadline, fasthttp keeps a response in its buffer while it handles a request that is already received; ending the process discards the buffer. Why it works: fasthttp flushes each response whose handler set a write deadline, even one that never ends.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -89,6 +89,7 @@
 	s.http = &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			handler(ctx)
+			flushAfterAnswer(ctx)
 			if s.keepAlivesDisabled.Load() {
 				ctx.SetConnectionClose()
 			}
@@ -131,6 +132,13 @@
 	return nil
 }
 
+// flushAfterAnswer makes the HTTP library send the answer immediately. Without a write
+// deadline it keeps the answer in its buffer while it handles a request that is already
+// received behind it.
+func flushAfterAnswer(ctx *fasthttp.RequestCtx) {
+	_ = ctx.SetWriteDeadline(time.Time{}) // Fails only if the connection is closed.
+}
+
 func handleRequest(ctx *fasthttp.RequestCtx, handle func(context.Context, entry.Request) exchange.Answer) {
 	in, err := parseRequest(ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/connection/caller/caller_test.go
@@ -0,0 +1,85 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryvane/bilberryvane/internal/connection/caller"
+	"github.com/bilberryvane/bilberryvane/internal/request/entry"
+	"github.com/bilberryvane/bilberryvane/internal/request/exchange"
+)
+
+// A handlerFunc handles all requests of a test server.
+type handlerFunc func(ctx context.Context, in entry.Request) exchange.Answer
+
+// Serve handles the request of a client.
+func (f handlerFunc) Serve(ctx context.Context, in entry.Request) exchange.Answer { return f(ctx, in) }
+
+// ServeChild handles the call of a backend server.
+func (f handlerFunc) ServeChild(ctx context.Context, in entry.Request) exchange.Answer {
+	return f(ctx, in)
+}
+
+// startServer starts a server for clients, which is shut down after the test.
+func startServer(t *testing.T, f handlerFunc) *caller.Server {
+	t.Helper()
+	limits := caller.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxConnections: 100}
+	server, err := caller.ListenCallers("127.0.0.1:0", limits, f)
+	is.New(t).NoErr(err)
+	server.Serve()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = server.Shutdown(ctx) // Only releases the port.
+	})
+	return server
+}
+
+// dial connects to a server and limits the time for which the test waits for answers.
+func dial(t *testing.T, s *caller.Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+	return conn, bufio.NewReader(conn)
+}
+
+// readResponse reads a complete response.
+func readResponse(r *bufio.Reader) (*http.Response, []byte, error) {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+// An answer that is ready must not wait until the next request on its connection is
+// answered: if the node stops meanwhile, the caller never gets it.
+func TestAnswerIsNotHeldBackForPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	server := startServer(t, func(_ context.Context, in entry.Request) exchange.Answer {
+		if in.Path == "/slow" {
+			<-release
+		}
+		return exchange.Answer{Status: http.StatusOK, Body: []byte(in.Path)}
+	})
+	conn, reader := dial(t, server)
+	_, err := io.WriteString(conn, "GET /stock/fast HTTP/1.1\r\nHost: x\r\n\r\nGET /stock/slow HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	_, body, err := readResponse(reader)
+	is.NoErr(err)
+	is.Equal(string(body), "/fast")
+}
