Deliver the answer when requests behind it are left unread

Callers saw: a connection reset in place of an answer that was ready, if they had sent more on the connection than the node reads: after Connection: close, or after an answer of a leaving node, which closes each connection with its next answer. Cause: closing a socket with unread data resets the connection, and the part of the answer that the caller has not yet received is discarded. The requests behind did not run before or after. Why it works: such a connection gets the lingering close that exists for requests refused while they arrive. Shutdown waits for lingering closes too, because ending the process would reset the connections. It also disables keep-alives itself, so that no connection is closed by it without a lingering close after an answer.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -51,7 +51,7 @@
 // A Server is one HTTP listener. It is safe for concurrent use.
 type Server struct {
 	http     *fasthttp.Server
-	listener net.Listener
+	listener *lingeringListener
 	// started reports whether Serve or Shutdown was called.
 	started atomic.Bool
 	// keepAlivesDisabled makes the server close each connection after its next answer.
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	s := &Server{listener: listener}
+	s := &Server{listener: &lingeringListener{Listener: listener}}
 	s.http = &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			handler(ctx)
@@ -93,6 +93,9 @@
 			if s.keepAlivesDisabled.Load() {
 				ctx.SetConnectionClose()
 			}
+			if ctx.Request.Header.ConnectionClose() || ctx.Response.ConnectionClose() {
+				lingerOnClose(ctx)
+			}
 		},
 		ErrorHandler:          handleReadError,
 		ReadBufferSize:        l.MaxHeaderBytes,
@@ -109,7 +112,7 @@
 // Serve starts to handle requests in the background. Further calls have no effect.
 func (s *Server) Serve() {
 	if s.started.CompareAndSwap(false, true) {
-		go func() { _ = s.http.Serve(lingeringListener{s.listener}) }() // Ends with Shutdown.
+		go func() { _ = s.http.Serve(s.listener) }() // Ends with Shutdown.
 	}
 }
 
@@ -120,16 +123,17 @@
 // that callers move to other nodes without losing a request.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// Shutdown stops accepting connections and returns when all requests are answered or
-// the context ends.
+// Shutdown stops accepting connections and returns when all requests are answered and
+// all connections are closed, or the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.DisableKeepAlives()
 	if s.started.CompareAndSwap(false, true) {
 		return s.listener.Close()
 	}
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("shut down HTTP server: %w", err)
 	}
-	return nil
+	return s.listener.waitClosed(ctx)
 }
 
 // flushAfterAnswer makes the HTTP library send the answer immediately. Without a write
@@ -163,9 +167,7 @@
 
 // handleReadError answers a request that the HTTP library could not parse.
 func handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	if c, ok := ctx.Conn().(*lingeringConn); ok {
-		c.lingerOnClose.Store(true)
-	}
+	lingerOnClose(ctx)
 	reason := refusal.BadRequest
 	var tooSmall *fasthttp.ErrSmallBuffer
 	if asSmallBuffer(err, &tooSmall) || isBodyTooLarge(err) {
--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +86,46 @@
 	is.NoErr(err)
 	is.Equal(string(body), "/fast")
 }
+
+// A caller must get its whole answer although the node closes the connection without
+// reading the requests that were sent behind it, and these must not run.
+func TestAnswerSurvivesCloseBeforeUnreadRequests(t *testing.T) {
+	const request = "GET /stock/first HTTP/1.1\r\nHost: x\r\n"
+	answer := make([]byte, 2<<20)
+	unread := "POST /stock/second HTTP/1.1\r\nHost: x\r\nContent-Length: 102400\r\n\r\n" + strings.Repeat("x", 102400)
+	tests := []struct {
+		name, header string
+		leave        bool
+	}{
+		{name: "Connection: close", header: "Connection: close\r\n"},
+		{name: "shutdown", leave: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int32
+			started, release := make(chan struct{}, 2), make(chan struct{})
+			server := startServer(t, func(context.Context, entry.Request) exchange.Answer {
+				ran.Add(1)
+				started <- struct{}{}
+				<-release
+				return exchange.Answer{Status: http.StatusOK, Body: answer}
+			})
+			conn, reader := dial(t, server)
+			var sending sync.WaitGroup
+			defer sending.Wait()
+			sending.Go(func() { _, _ = io.WriteString(conn, request+tt.header+"\r\n"+unread) })
+			<-started
+			if tt.leave {
+				server.DisableKeepAlives()
+			}
+			close(release)
+			time.Sleep(300 * time.Millisecond) // The node closes the connection meanwhile.
+			response, body, err := readResponse(reader)
+			is.NoErr(err)
+			is.True(response.Close)
+			is.Equal(len(body), len(answer))
+			is.Equal(int(ran.Load()), 1)
+		})
+	}
+}
--- a/internal/connection/caller/linger.go
+++ b/internal/connection/caller/linger.go
@@ -1,11 +1,15 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -16,39 +20,74 @@
 )
 
 // A lingeringListener accepts connections that support a lingering close.
-type lingeringListener struct{ net.Listener }
+type lingeringListener struct {
+	net.Listener
+	// open counts the accepted connections that are not closed.
+	open sync.WaitGroup
+}
 
 // Accept returns the next connection.
-func (l lingeringListener) Accept() (net.Conn, error) {
+func (l *lingeringListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, fmt.Errorf("accept caller connection: %w", err)
 	}
-	return &lingeringConn{Conn: c}, nil
+	l.open.Add(1)
+	return &lingeringConn{Conn: c, onClose: sync.OnceFunc(l.open.Done)}, nil
+}
+
+// waitClosed returns when all connections are closed or the context ends. It must be
+// called after the last Accept.
+func (l *lingeringListener) waitClosed(ctx context.Context) error {
+	closed := make(chan struct{})
+	go func() {
+		l.open.Wait()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for caller connections to close: %w", ctx.Err())
+	}
 }
 
-// A lingeringConn is a connection with an optional lingering close: after a request that
-// was refused before it was fully read, Close first reads what the caller still sends.
-// An immediate close would reset the connection, and the caller would lose the refusal.
+// A lingeringConn is a connection with an optional lingering close: after an answer with
+// requests behind it that are not read, Close first reads what the caller still sends.
+// An immediate close would reset the connection, and the caller would lose the answer.
 type lingeringConn struct {
 	net.Conn
 	lingerOnClose atomic.Bool
+	onClose       func()
+}
+
+// lingerOnClose makes the close of a request's connection a lingering one.
+func lingerOnClose(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*lingeringConn); ok {
+		c.lingerOnClose.Store(true)
+	}
 }
 
 // Close closes the connection, with a lingering close if lingerOnClose is set.
 func (c *lingeringConn) Close() error {
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || !c.lingerOnClose.Load() {
-		return c.Conn.Close()
+		return c.close()
 	}
 	if err := halfCloser.CloseWrite(); err != nil {
-		return c.Conn.Close()
+		return c.close()
 	}
 	go c.drain()
 	return nil
 }
 
+func (c *lingeringConn) close() error {
+	defer c.onClose()
+	return c.Conn.Close()
+}
+
 func (c *lingeringConn) drain() {
+	defer c.onClose()
 	defer c.Conn.Close()
 	if err := c.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
 		return
