Refuse uploads that outlast a shutdown before it times out

Callers saw: a request whose body was still arriving when the shutdown timeout ended got neither an answer nor a refusal, though it never ran. Cause: the server waits for the body for up to 30 s, and cancelling the requests that run does not reach one that is still being read. Why it works: when the requests are cancelled, reads on all connections fail, also those that start later. The error handler then refuses the request as not run, and the connection gets a lingering close, so that the rest of the body doesn't reset it.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -92,8 +92,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	s := &Server{listener: &lingeringListener{Listener: listener}}
+	s := &Server{}
 	s.requests, s.cancelRequests = context.WithCancel(context.Background())
+	s.listener = &lingeringListener{Listener: listener, reading: s.requests}
 	s.http = &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			handler(s, ctx)
@@ -105,7 +106,7 @@
 				lingerOnClose(ctx)
 			}
 		},
-		ErrorHandler:          handleReadError,
+		ErrorHandler:          s.handleReadError,
 		ReadBufferSize:        l.MaxHeaderBytes,
 		MaxRequestBodySize:    l.MaxBodyBytes,
 		Concurrency:           l.MaxConnections,
@@ -133,7 +134,8 @@
 
 // Shutdown stops accepting connections and returns when all requests are answered and
 // all connections are closed, or the context ends. Shortly before the context's deadline
-// it cancels the requests that still run, so that they are answered with their outcome.
+// it cancels the requests that still run or arrive, so that they are answered with their
+// outcome.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.DisableKeepAlives()
 	if s.started.CompareAndSwap(false, true) {
@@ -185,13 +187,16 @@
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
-// handleReadError answers a request that the HTTP library could not parse.
-func handleReadError(ctx *fasthttp.RequestCtx, err error) {
+// handleReadError answers a request that the HTTP library could not read.
+func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	lingerOnClose(ctx)
 	reason := refusal.BadRequest
 	var tooSmall *fasthttp.ErrSmallBuffer
-	if asSmallBuffer(err, &tooSmall) || isBodyTooLarge(err) {
+	switch {
+	case asSmallBuffer(err, &tooSmall) || isBodyTooLarge(err):
 		reason = refusal.RequestTooLarge
+	case s.requests.Err() != nil:
+		reason = refusal.Leaving
 	}
 	writeRefusal(ctx, refusal.New(reason))
 }
--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -158,3 +158,29 @@
 	is.NoErr(conn.Close())
 	is.NoErr(<-shutdown)
 }
+
+// An upload that is still arriving when the shutdown times out must be refused before
+// that as not run, not by a closed connection.
+func TestShutdownRefusesUploadThatOutlastsIt(t *testing.T) {
+	is := is.New(t)
+	server := startServer(t, func(context.Context, entry.Request) exchange.Answer {
+		t.Error("an incomplete request was run")
+		return exchange.Answer{Status: http.StatusOK}
+	})
+	conn, reader := dial(t, server)
+	_, err := io.WriteString(conn, "POST /stock/items HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\nincomplete")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond) // The node receives the start of the request.
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	shutdown := make(chan error, 1)
+	go func() { shutdown <- server.Shutdown(ctx) }()
+	response, _, err := readResponse(reader)
+	is.NoErr(err)
+	is.NoErr(ctx.Err())
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get(caller.OutcomeHeader), string(refusal.NotRun))
+	is.Equal(response.Header.Get(caller.ReasonHeader), string(refusal.Leaving))
+	is.NoErr(conn.Close())
+	is.NoErr(<-shutdown)
+}
--- a/internal/connection/caller/linger.go
+++ b/internal/connection/caller/linger.go
@@ -22,6 +22,8 @@
 // A lingeringListener accepts connections that support a lingering close.
 type lingeringListener struct {
 	net.Listener
+	// reading ends when connections must not be read any more.
+	reading context.Context
 	// open counts the accepted connections that are not closed.
 	open sync.WaitGroup
 }
@@ -33,7 +35,9 @@
 		return nil, fmt.Errorf("accept caller connection: %w", err)
 	}
 	l.open.Add(1)
-	return &lingeringConn{Conn: c, onClose: sync.OnceFunc(l.open.Done)}, nil
+	conn := &lingeringConn{Conn: c, reading: l.reading, onClose: sync.OnceFunc(l.open.Done)}
+	conn.keepReading = context.AfterFunc(l.reading, func() { _ = conn.SetReadDeadline(time.Time{}) })
+	return conn, nil
 }
 
 // waitClosed returns when all connections are closed or the context ends. It must be
@@ -58,7 +62,18 @@
 type lingeringConn struct {
 	net.Conn
 	lingerOnClose atomic.Bool
-	onClose       func()
+	// reading ends when a blocked read must fail; keepReading prevents that.
+	reading     context.Context
+	keepReading func() bool
+	onClose     func()
+}
+
+// SetReadDeadline sets the read deadline, which has passed if reading has ended.
+func (c *lingeringConn) SetReadDeadline(t time.Time) error {
+	if err := c.Conn.SetReadDeadline(t); err != nil || c.reading.Err() == nil {
+		return err
+	}
+	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // lingerOnClose makes the close of a request's connection a lingering one.
@@ -70,6 +85,7 @@
 
 // Close closes the connection, with a lingering close if lingerOnClose is set.
 func (c *lingeringConn) Close() error {
+	c.keepReading()
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || !c.lingerOnClose.Load() {
 		return c.close()
@@ -89,7 +105,7 @@
 func (c *lingeringConn) drain() {
 	defer c.onClose()
 	defer c.Conn.Close()
-	if err := c.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
 		return
 	}
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // Stops at EOF or either limit.
