Refuse requests that are arriving when a node stops taking requests

What callers saw: a request that had begun to arrive when a leaving node stopped taking requests was read to its end, run, and broken off at the end of the grace period.

Cause: how long the rest of the request takes to arrive isn't known, so what is complete late has less time left than the route usually takes.

Change: what is incomplete when the node stops taking requests is refused at once, 503 with Retry-After, not run, in the order of its connection. The rest is read and dropped, so that no reset discards the refusal. A request that the server stopped reading also gets a 503 if its body ends in the trailer (400 before), and one that isn't read completely no longer counts as unanswered.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -30,7 +30,7 @@
 	// bodies of a response.
 	writeBufferBytes = 4 << 10
 	// unreadRetryAfter is the retry delay in seconds of a request whose body can't be held, or
-	// that the server stopped to read.
+	// that the server stopped reading.
 	unreadRetryAfter = "0.5"
 )
 
@@ -63,9 +63,8 @@
 	unanswered int
 	// answeredAt is when the latest response was sent.
 	answeredAt time.Time
-	// arriving is set while a request is being read, and stopped once the server doesn't wait
-	// for the rest of that request.
-	arriving, stopped bool
+	// reading is set while a request is being read, and stopped once it is refused instead.
+	reading, stopped bool
 	// finalWritten is set once no further response will be written. The connection then
 	// waits for the caller to close its end.
 	finalWritten bool
@@ -96,9 +95,7 @@
 	for {
 		request, reserved, err := c.read()
 		if err != nil {
-			connected := c.handleReadError(err, previous)
-			c.endArrival()
-			if connected {
+			if c.handleReadError(err, previous) {
 				c.discard()
 			}
 			break
@@ -180,7 +177,7 @@
 }
 
 // beginRequest counts a request as active from its first byte on. It returns errClosing if no
-// further request is served on the connection, and the request counts as unread.
+// further request is read from the connection.
 func (c *connection) beginRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -188,7 +185,7 @@
 		return errClosing
 	}
 	c.unanswered++
-	c.arriving = true
+	c.reading = true
 	c.server.active.Add(1)
 	c.server.arriving.Add(1)
 	return nil
@@ -201,27 +198,32 @@
 	if err := c.readable(); err != nil {
 		return err
 	}
-	c.arriving = false
+	c.reading = false
 	c.server.arriving.Add(-1)
 	return nil
 }
 
-// endArrival ends a request that has not arrived completely.
-func (c *connection) endArrival() {
+// endRequest ends a request that was not read completely. The response to it is written
+// before; without one the request no longer counts as unanswered.
+func (c *connection) endRequest(answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.arriving {
-		c.arriving = false
-		c.server.arriving.Add(-1)
-		c.server.active.Add(-1)
+	if !c.reading {
+		return
+	}
+	c.reading = false
+	c.server.arriving.Add(-1)
+	c.server.active.Add(-1)
+	if !answered {
+		c.unanswered--
 	}
 }
 
-// stopArrival interrupts reading a request, so that it is refused.
-func (c *connection) stopArrival() {
+// stopReading interrupts reading a request, so that it is refused.
+func (c *connection) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.arriving && !c.finalWritten {
+	if c.reading && !c.finalWritten {
 		c.stopped = true
 		// An error means that the connection is closed, which ends the read too.
 		_ = c.conn.SetReadDeadline(time.Now())
@@ -266,7 +268,7 @@
 	return c.finalWritten
 }
 
-// isStopped reports whether the request that is arriving is refused.
+// isStopped reports whether the request that is being read is refused.
 func (c *connection) isStopped() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -398,24 +400,24 @@
 }
 
 // handleReadError handles an error from read and reports whether the caller may still be
-// connected. A request that is malformed, or that the server stopped to read, gets an error
+// connected. A request that is malformed, or that the server stopped reading, gets an error
 // response; if the caller disconnected, the requests in flight are cancelled.
 func (c *connection) handleReadError(err error, turn <-chan struct{}) (connected bool) {
-	if c.isStopped() && (isTimeout(err) || errors.Is(err, errStopping)) {
-		c.respondToReadError(fasthttp.StatusServiceUnavailable, turn)
-		return true
-	}
+	status, ok := readErrorStatus(err)
 	outside := errors.As(err, new(disconnectError))
-	if errors.Is(err, errClosing) || outside && isTimeout(err) || c.isClosing() {
+	switch {
+	case c.isStopped() && (ok || errors.Is(err, errStopping)):
+		c.respondToReadError(fasthttp.StatusServiceUnavailable, turn)
+	case errors.Is(err, errClosing), outside && isTimeout(err), c.isClosing():
+		c.endRequest(false)
 		c.closeIdle()
-		return true
-	}
-	status, ok := readErrorStatus(err)
-	if outside || !ok {
+	case outside, !ok:
+		c.endRequest(false)
 		c.cancel(ErrCallerDisconnected)
 		return false
+	default:
+		c.respondToReadError(status, turn)
 	}
-	c.respondToReadError(status, turn)
 	return true
 }
 
@@ -432,6 +434,7 @@
 	response.SetBodyString(fasthttp.StatusMessage(status) + ": the request could not be read\n")
 	response.SetConnectionClose()
 	c.write(response, true)
+	c.endRequest(true)
 }
 
 // discard reads and drops input until the caller closes the connection, which cancels the
--- a/internal/connection/ingress/ingress.go
+++ b/internal/connection/ingress/ingress.go
@@ -131,8 +131,8 @@
 func (s *Server) Drain() { s.closing.Store(true) }
 
 // CloseIdle stops accepting connections and requests. It closes the connections without a
-// request in flight, and the others after the response to their last request. A request that
-// begins to arrive later isn't served.
+// request in flight, and the others after the response to their last request. A request that is
+// arriving is refused with status 503, and one that begins to arrive later isn't read.
 func (s *Server) CloseIdle() {
 	s.closing.Store(true)
 	s.refusing.Store(true)
@@ -140,21 +140,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
+		c.stopReading()
 		c.closeIdle()
 	}
 }
 
-// CancelRequests cancels the requests that are being handled, and refuses those that are
-// arriving with status 503. The handlers have to answer at once, so that the responses behind
-// theirs can be sent too. It implies CloseIdle, so that no request begins later. The cause is
-// that of the contexts of the requests.
+// CancelRequests cancels the requests that are being handled. The handlers have to answer at
+// once, so that the responses behind theirs can be sent too. It implies CloseIdle, so that no
+// request begins later. The cause is that of the contexts of the requests.
 func (s *Server) CancelRequests(cause error) {
 	s.CloseIdle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
 		c.cancelRequests(cause)
-		c.stopArrival()
 	}
 }
 
