Ignore empty lines between requests

What callers saw: a caller that sent an empty line behind a request lost the answer if the request took longer than the header timeout.

Its timeout ended the read with an error that is taken for a disconnect, which cancels what is in service.

Change: empty lines before a request are skipped, as HTTP asks servers to do.

--- a/internal/connection/ingress/cancel_test.go
+++ b/internal/connection/ingress/cancel_test.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// Guards against an empty line behind a request that counts as the start of another one, whose
+// timeout cancelled the requests in service.
+func TestEmptyLinesBetweenRequestsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s, conn, reader := serve(t, func(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) {
+		select {
+		case <-time.After(limits().HeaderTimeout + 300*time.Millisecond):
+		case <-ctx.Done():
+			response.SetStatusCode(fasthttp.StatusBadGateway)
+		}
+		echo(ctx, request, response)
+	})
+	send(t, conn, "\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n\r\n\n")
+	is.Equal(read(t, reader).StatusCode(), fasthttp.StatusOK)
+	is.Equal(s.Active(), 0)
+	send(t, conn, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.Equal(string(read(t, reader).Body()), "GET /2 ")
+}
+
 // A request that begins to arrive after the server has stopped taking requests isn't served.
 func TestRequestAfterCloseIdleIsUnread(t *testing.T) {
 	is := is.New(t)
--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -230,19 +230,23 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request and begins the request. The idle timeout
-// applies from the time at which no earlier request was being served.
+// awaitRequest waits for the first byte of a request, after empty lines, and begins the request.
+// The idle timeout applies from the time at which no earlier request was being served.
 func (c *connection) awaitRequest(idle time.Duration) error {
 	wait := idle
 	for {
 		if err := c.setReadTimeout(wait); err != nil {
 			return err
 		}
-		_, err := c.reader.Peek(1)
-		if err == nil {
+		next, err := c.reader.Peek(1)
+		switch {
+		case err == nil && (next[0] == '\r' || next[0] == '\n'):
+			// An error would end the next Peek too.
+			_, _ = c.reader.Discard(1)
+			continue
+		case err == nil:
 			return c.beginRequest()
-		}
-		if !isTimeout(err) {
+		case !isTimeout(err):
 			return err
 		}
 		if wait = c.idleTimeLeft(idle); wait <= 0 {
