Set the write deadline of an interim response

What callers saw: a request with Expect: 100-continue on a connection whose last response was sent more than 30 s before got no answer; the connection ended, or hung since requests count from their first byte on.

Cause: the interim response was written under the deadline of the response before.

No test, as it would take as long.

Change: the interim response has a deadline of its own.

--- a/internal/connection/ingress/connection.go
+++ b/internal/connection/ingress/connection.go
@@ -292,6 +292,9 @@
 	if request.MayContinue() {
 		// Writing to the connection directly is safe: callers that send the Expect
 		// header don't pipeline, so no response is written at the same time.
+		if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return reserved, disconnectError{err}
+		}
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return reserved, disconnectError{err}
 		}
