Bound the removal of a leaving host's row by the grace period

Cause: the removal takes up to 200 ms, and begins when running requests are cancelled, a sixth of the grace period before its end.

Change: the removal ends when the connections are closed.

--- a/internal/process/sidecar/shutdown.go
+++ b/internal/process/sidecar/shutdown.go
@@ -46,7 +46,12 @@
 	n.leaving.Store(true)
 	n.callers.Drain()
 	idle := n.awaitIdle(start)
-	n.tasks.Go(func() { n.record.remove(context.Background()) })
+	_, closeAt := shutdownTimes(start, time.Duration(n.grace.Load()))
+	n.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeAt.Sub(n.clock.Now()))
+		defer cancel()
+		n.record.remove(ctx)
+	})
 	if !idle {
 		n.cancelRequests()
 		n.awaitAnswers(start)
