Wait for the end of a request in two tests of package ingress

Cause: a request stops counting as active after its response was sent, and the test looked between the two. TestEmptyLinesBetweenRequestsAreIgnored could fail in the same way.

Change: both wait until no request is active, and fail if that isn't reached. The first also checks that the second request wasn't served.

--- a/internal/connection/ingress/cancel_test.go
+++ b/internal/connection/ingress/cancel_test.go
@@ -142,7 +142,7 @@
 	})
 	send(t, conn, "\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n\r\n\n")
 	is.Equal(read(t, reader).StatusCode(), fasthttp.StatusOK)
-	is.Equal(s.Active(), 0)
+	waitUntil(t, func() bool { return s.Active() == 0 })
 	send(t, conn, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
 	is.Equal(string(read(t, reader).Body()), "GET /2 ")
 }
@@ -164,7 +164,8 @@
 	is.True(read(t, reader).ConnectionClose())
 	_, err := reader.ReadByte()
 	is.Equal(err, io.EOF)
-	is.Equal(s.Active(), 0)
+	waitUntil(t, func() bool { return s.Active() == 0 })
+	is.Equal(len(started), 0)
 }
 
 // Guards against requests that run although their responses are dropped, because an earlier one
