Leave time for lingering connections when a shutdown cancels requests

Cause: running requests were cancelled a sixth of the time before the end, 0.67 s of 4 s. After that an outcome may take 0.5 s to record, and two listeners are shut down in turn, each with connections that linger for up to 0.5 s.

Change: the margin covers the three, and is at most a third of the time.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -27,8 +27,10 @@
 const readTimeout = 30 * time.Second
 
 // maxAnswerMargin is the maximum time before the end of a shutdown at which requests that
-// still run are cancelled. Recording an outcome delays an answer by up to 500 ms.
-const maxAnswerMargin = time.Second
+// still run are cancelled, at most a third of the shutdown. Recording an outcome delays an
+// answer by up to 500 ms, and the listeners for clients and for the backend server are shut
+// down one after the other, with a lingering close each.
+const maxAnswerMargin = 500*time.Millisecond + 2*lingerTimeout
 
 // Limits are the limits on callers and their requests.
 type Limits struct {
@@ -143,7 +145,7 @@
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline)
-		timer := time.AfterFunc(left-min(maxAnswerMargin, left/6), s.cancelRequests)
+		timer := time.AfterFunc(left-min(maxAnswerMargin, left/3), s.cancelRequests)
 		defer timer.Stop()
 	}
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
