--- a/internal/connection/caller/linger.go
+++ b/internal/connection/caller/linger.go
@@ -36,7 +36,9 @@
 	}
 	l.open.Add(1)
 	conn := &lingeringConn{Conn: c, reading: l.reading, onClose: sync.OnceFunc(l.open.Done)}
-	conn.keepReading = context.AfterFunc(l.reading, func() { _ = conn.SetReadDeadline(time.Time{}) })
+	conn.keepReading = context.AfterFunc(l.reading, func() {
+		_ = conn.SetReadDeadline(time.Time{}) // Fails only if the connection is closed.
+	})
 	return conn, nil
 }
 
