--- a/review/_standin3/client.go
+++ b/review/_standin3/client.go
@@ -15,6 +15,8 @@
 	method, path, id string
 	body             []byte
 	deadline         time.Duration
+	// key is the API key; that of the tenant if it is empty.
+	key string
 }
 
 // The host name in all requests.
@@ -46,9 +48,12 @@
 	if err = c.conn.SetDeadline(time.Now().Add(r.deadline)); err != nil {
 		return 0, nil, err
 	}
+	if r.key == "" {
+		r.key = key
+	}
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		r.method, r.path, authority, attemptHeader, r.id, deadlineHeader, r.deadline.Milliseconds(), key, len(r.body))
+		r.method, r.path, authority, attemptHeader, r.id, deadlineHeader, r.deadline.Milliseconds(), r.key, len(r.body))
 	if _, err = c.conn.Write(append(head.Bytes(), r.body...)); err != nil {
 		return 0, nil, err
 	}
--- a/review/_standin3/cluster.go
+++ b/review/_standin3/cluster.go
@@ -20,8 +20,19 @@
 	notRunHeader   = "X-Not-Executed"
 )
 
-// key is the API key of the only tenant.
-const key = "6wsjnbanfqasnmgkcuyj"
+// The only tenant of the first version and its API key.
+const (
+	tenantName = "pulo780"
+	key        = "6wsjnbanfqasnmgkcuyj"
+)
+
+// A tenant is a tenant of the configuration.
+type tenant struct {
+	Keys          []string `json:"api-keys"`
+	Priority      int      `json:"priority"`
+	RatePerSecond int      `json:"rate-per-s"`
+	Burst         int      `json:"burst"`
+}
 
 // A cluster is a small deployment: machines in three zones, the store and the operator.
 type cluster struct {
@@ -30,6 +41,7 @@
 	hosts  []*host
 	// version is that of the configuration.
 	version int
+	tenants map[string]tenant
 	// runs counts the runs of each request by its id.
 	mu   sync.Mutex
 	runs map[string]int
@@ -54,7 +66,10 @@
 	if err != nil {
 		fatal(err)
 	}
-	c := &cluster{store: s, folder: folder, runs: make(map[string]int)}
+	c := &cluster{
+		store: s, folder: folder, runs: make(map[string]int),
+		tenants: map[string]tenant{tenantName: {Keys: []string{key}, Priority: 1, RatePerSecond: 2000, Burst: 2000}},
+	}
 	for _, g := range groups {
 		for i := range g.machines {
 			service, zone := g.service, zones[i%len(zones)]
@@ -126,7 +141,7 @@
 	content, err := json.Marshal(map[string]any{
 		"version": c.version, "routes": routes, "services": all,
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
-		"tenants": map[string]any{"pulo780": map[string]any{"api-keys": []string{key}, "priority": 1, "rate-per-s": 2000, "burst": 2000}},
+		"tenants": c.tenants,
 	})
 	if err != nil {
 		fatal(err)
