--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -52,7 +52,7 @@
 	name := flag.String("case", "", "the case to play")
 	path := flag.String("record", "record.txt", "the file to write")
 	flag.Parse()
-	cases := map[string]func(trouble bool) (broken bool){"status": status, "bodies": bodies, "fields": fields, "leave": leave, "keys": keys}
+	cases := map[string]func(trouble bool) (broken bool){"status": status, "bodies": bodies, "fields": fields, "leave": leave, "keys": keys, "crash": crash}
 	play, ok := cases[*name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "there is no case %q\n", *name)
